--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits, the fair queue by workspace and the retry budget.
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,8 @@
+//! The choice of a backend server.
+//!
+//! Pure: what is known of the servers comes in, a choice goes out. The crate knows nothing of how
+//! load reports and cache events arrive.
+
+pub mod choice;
+
+pub use choice::{Ask, Server, choose};
--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that almost every module needs.
+
+pub use crate::id::{
+    Attempt, BackendId, DataCentre, Epoch, GenerationId, HostId, Incarnation, Offset, ProfileName,
+    RequestKey, ServiceName, Version, WorkspaceName,
+};
+pub use crate::model::Model;
+pub use crate::time::Millis;
+pub use crate::token::Token;
--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims of calls that may not repeat.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,6 @@
+//! The adapter to model engines: wire types and a client.
+//!
+//! This is the only crate that knows an engine's paths and JSON shapes.
+
+pub mod client;
+pub mod wire;
--- /dev/null
+++ b/crates/gooseberry-agent/src/admin.rs
@@ -0,0 +1,43 @@
+//! The operators' entry of an agent.
+
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use telemetry::admin::{Readiness, answer, not_found};
+use web::Response;
+
+use crate::shared::{Agent, SharedAgent};
+
+/// Answers one request.
+pub async fn handle(agent: SharedAgent, request: Request<Incoming>) -> Response {
+    let answered = answer(&request, || state(&agent), || readiness(&agent));
+    answered.unwrap_or_else(|| not_found(&request))
+}
+
+/// Whether the agent can serve a router.
+fn readiness(agent: &Agent) -> Readiness {
+    let version = agent.version();
+    let ready = version.0 > 0;
+    let reason = if ready {
+        String::new()
+    } else {
+        "no configuration yet: the platform and all peers are away or hold none".to_owned()
+    };
+    Readiness {
+        ready,
+        reason,
+        version,
+    }
+}
+
+/// All that the agent believes.
+fn state(agent: &Agent) -> Value {
+    let view = agent.view(base::id::Version(0));
+    json!({
+        "host": agent.settings.host,
+        "data_centre": agent.settings.data_centre,
+        "incarnation": agent.incarnation,
+        "now_ms": agent.timer.now(),
+        "view": view,
+    })
+}
--- /dev/null
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -0,0 +1,7 @@
+//! The agent of an entry host: watches the platform and the backend servers, and tells the host's
+//! router what it needs.
+
+pub mod admin;
+pub mod run;
+pub mod shared;
+pub mod watch;
--- /dev/null
+++ b/crates/gooseberry-bench/src/harness/build.rs
@@ -0,0 +1,39 @@
+//! Builds the programs that an experiment starts, and finds them.
+
+use std::path::{Path, PathBuf};
+
+use tokio::process::Command;
+
+use super::BenchError;
+
+/// The programs that experiments start.
+const PROGRAMS: [&str; 3] = [
+    "gooseberry-router",
+    "gooseberry-agent",
+    "gooseberry-standin",
+];
+
+/// The manifest through which the workspace is found from any folder.
+const MANIFEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+
+/// Builds the programs with the profile of this one and returns their folder.
+pub(crate) async fn programs() -> Result<PathBuf, BenchError> {
+    let own = std::env::current_exe().map_err(|e| BenchError::Build(e.to_string()))?;
+    let folder = own.parent().unwrap_or(Path::new(".")).to_owned();
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--locked", "--quiet", "--bins"]);
+    command.args(["--manifest-path", MANIFEST]);
+    for program in PROGRAMS {
+        command.args(["--package", program]);
+    }
+    if folder.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().await;
+    let status = status.map_err(|e| BenchError::Build(e.to_string()))?;
+    if !status.success() {
+        return Err(BenchError::Build(status.to_string()));
+    }
+    Ok(folder)
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/completions.rs
@@ -0,0 +1,213 @@
+//! `POST /v1/completions`.
+
+use std::sync::Arc;
+
+use base::hash::stable;
+use base::prelude::*;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request};
+use profiles::document::{Document, Kind as ServiceKind, Profile, Service};
+use tokio::sync::mpsc;
+use web::reply::{self, BodyError};
+use web::{Response, StreamCut};
+
+use crate::auth;
+use crate::caller::{self, Completion, KEY_HEADER, Reached};
+use crate::context::Router;
+use crate::drive::{Job, drive};
+use crate::errors::{CallerError, Kind, Ran};
+use crate::output::{collect, write_events};
+use crate::takeover::{self, Claimed};
+
+/// The outputs that wait for the writer.
+const OUTPUTS: usize = 4;
+
+/// The header with the version of the configuration under which an answer was made.
+const VERSION_HEADER: &str = "gooseberry-version";
+
+/// Answers one request.
+///
+/// # Errors
+///
+/// Any [`CallerError`] of a request that did not start.
+pub async fn handle(
+    router: &Arc<Router>,
+    request: Request<Incoming>,
+) -> Result<Response, CallerError> {
+    let snapshot = router.snapshot();
+    let document = &snapshot.document;
+    let (parts, body) = request.into_parts();
+    let workspace = auth::workspace(document, &parts.headers)?;
+    let limit = largest_body(document);
+    let body = reply::read_bytes(body, limit).await.map_err(body_error)?;
+    let completion = parse(&body)?;
+    let (service, profile) = find(document, &completion)?;
+    check_limits(&completion, body.len(), profile)?;
+    let place = Place::read(router, &parts.headers, workspace.name.as_str())?;
+    let digest = digest(&completion);
+    let claimed = place.claim(router, digest).await?;
+    let job = Job {
+        key: place.key,
+        service: service.name.clone(),
+        model: model(&claimed, service),
+        profile: profile.clone(),
+        prompt: Arc::from(completion.prompt.as_str()),
+        max_tokens: completion.max_tokens.min(profile.limits.tokens),
+    };
+    let mut claimed = claimed;
+    claimed.header.model = job.model.clone();
+    let mut response = run(router, job, claimed, &completion).await;
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&place.shown) {
+        headers.insert(KEY_HEADER, value);
+    }
+    headers.insert(VERSION_HEADER, HeaderValue::from(document.version.0));
+    Ok(response)
+}
+
+/// Starts the generation and the writing of its output.
+async fn run(
+    router: &Arc<Router>,
+    job: Job,
+    claimed: Claimed,
+    completion: &Completion,
+) -> Response {
+    let (sender, outputs) = mpsc::channel(OUTPUTS);
+    tokio::spawn(drive(router.clone(), job, claimed, sender));
+    if completion.stream {
+        let (body, response) = reply::events();
+        tokio::spawn(write_events(outputs, completion.model.clone(), body));
+        return response;
+    }
+    let whole = collect(outputs, &completion.model).await;
+    whole.unwrap_or_else(|| interrupted().response())
+}
+
+/// The key of a request and the place that its caller has reached.
+struct Place {
+    /// The key, with its workspace.
+    key: RequestKey,
+    /// The key as the caller knows it.
+    shown: String,
+    is_minted: bool,
+    reached: Option<Reached>,
+}
+
+impl Place {
+    fn read(router: &Router, headers: &HeaderMap, workspace: &str) -> Result<Self, CallerError> {
+        let given = caller::key(headers)?;
+        let reached = caller::reached(headers)?;
+        let is_minted = given.is_none();
+        let shown = given.unwrap_or_else(|| mint(router));
+        Ok(Self {
+            key: RequestKey(format!("{workspace}/{shown}")),
+            shown,
+            is_minted,
+            reached,
+        })
+    }
+
+    /// Takes ownership of the request; a minted key cannot run elsewhere.
+    async fn claim(&self, router: &Arc<Router>, digest: u64) -> Result<Claimed, CallerError> {
+        if self.is_minted {
+            let epoch = Epoch::default().succeed(router.incarnation);
+            return Ok(takeover::fresh(epoch, digest));
+        }
+        takeover::claim(router, &self.key, digest, self.reached).await
+    }
+}
+
+/// A key that no other request has.
+fn mint(router: &Router) -> String {
+    format!(
+        "{:016x}{:016x}",
+        router.incarnation.0,
+        rand::random::<u64>()
+    )
+}
+
+/// The largest body that any profile takes.
+fn largest_body(document: &Document) -> usize {
+    let limits = document.profiles.iter().map(|p| p.limits.body_bytes);
+    limits.max().unwrap_or(0)
+}
+
+fn parse(body: &[u8]) -> Result<Completion, CallerError> {
+    serde_json::from_slice(body).map_err(|e| {
+        let message = format!("the body is not as expected: {e}; correct it and send it again");
+        CallerError::not_run(Kind::Malformed, message)
+    })
+}
+
+/// The service that a request names, and its profile.
+fn find<'a>(
+    document: &'a Document,
+    completion: &Completion,
+) -> Result<(&'a Service, &'a Profile), CallerError> {
+    let found = document.service(&completion.model);
+    let service = found.filter(|s| s.kind == ServiceKind::Model);
+    let profile = service.and_then(|s| document.profile(&s.profile));
+    service.zip(profile).ok_or_else(|| {
+        let message = format!("there is no model service `{}`", completion.model);
+        CallerError::not_run(Kind::NotFound, message)
+    })
+}
+
+fn check_limits(
+    completion: &Completion,
+    bytes: usize,
+    profile: &Profile,
+) -> Result<(), CallerError> {
+    let limits = &profile.limits;
+    if bytes > limits.body_bytes {
+        let message = format!(
+            "the body is larger than {} bytes; shorten it",
+            limits.body_bytes
+        );
+        return Err(CallerError::not_run(Kind::TooLarge, message));
+    }
+    if completion.max_tokens == 0 || completion.prompt.is_empty() {
+        let message = "`max_tokens` must be above 0 and `prompt` not empty";
+        return Err(CallerError::not_run(Kind::Malformed, message));
+    }
+    Ok(())
+}
+
+/// The model that began the output, or the default of the service.
+fn model(claimed: &Claimed, service: &Service) -> Model {
+    if claimed.tokens.is_empty() && claimed.header.stream.is_none() {
+        return service.models.first().cloned().unwrap_or_default();
+    }
+    claimed.header.model.clone()
+}
+
+/// A digest of what makes two requests the same.
+fn digest(completion: &Completion) -> u64 {
+    let Completion {
+        model,
+        prompt,
+        max_tokens,
+        ..
+    } = completion;
+    stable(format!("{model}\n{max_tokens}\n{prompt}").as_bytes())
+}
+
+/// The caller's error of a body that cannot be read.
+pub fn body_error(error: BodyError) -> CallerError {
+    let kind = match error {
+        BodyError::TooLarge { .. } => Kind::TooLarge,
+        BodyError::Broken | BodyError::Malformed { .. } => Kind::Malformed,
+    };
+    CallerError::not_run(kind, error.to_string())
+}
+
+/// The caller's error of an output that broke off.
+fn interrupted() -> CallerError {
+    CallerError {
+        kind: Kind::Lost,
+        message: format!("{StreamCut}"),
+        ran: Ran::Unknown,
+        retry_after: Some(1),
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/drive.rs
@@ -0,0 +1,375 @@
+//! One generation from claim to end: carries out what its state machines ask for.
+
+mod attempts;
+mod journalling;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use base::prelude::*;
+use cadence::prelude::*;
+use generation::{Action, Event, Failure, Generation};
+use journal::record::{End, Header, Link};
+use journal::replica::Replica;
+use profiles::document::Profile;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::context::Router;
+use crate::errors::{CallerError, Kind, Ran};
+use crate::links::Acked;
+use crate::output::Output;
+use crate::stream::News;
+use crate::takeover::Claimed;
+use attempts::Attempts;
+
+/// The most tokens that wait for a slow caller before the engines are no longer read.
+const WINDOW: usize = 256;
+
+/// The most news of engines that wait for the driver.
+const NEWS: usize = 64;
+
+/// The time between appends to this host's own journal when there are no tokens.
+const TOUCH: Millis = Millis(2_000);
+
+/// The seconds after which a caller is told to come back.
+const COME_BACK_S: u64 = 1;
+
+/// What a generation is to do.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request, with its workspace.
+    pub key: RequestKey,
+    /// The service.
+    pub service: ServiceName,
+    /// The model.
+    pub model: Model,
+    /// The profile.
+    pub profile: Profile,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// The most tokens in the output.
+    pub max_tokens: u64,
+}
+
+/// The state of one generation in flight.
+struct Driver {
+    router: Arc<Router>,
+    job: Job,
+    epoch: Epoch,
+    header: Header,
+    generation: Generation,
+    replica: Replica,
+    attempts: Attempts,
+    acks: mpsc::UnboundedSender<Acked>,
+    acked: mpsc::UnboundedReceiver<Acked>,
+    end: Option<End>,
+    /// The tokens in this host's own journal.
+    local: Offset,
+    touched: Millis,
+    is_verifying: bool,
+    queue: VecDeque<Output>,
+    /// The tokens in the queue.
+    queued: usize,
+    is_reading: bool,
+    is_caller_gone: bool,
+    number: u64,
+}
+
+/// Runs one generation to its end, writing to `output`.
+pub async fn drive(router: Arc<Router>, job: Job, claimed: Claimed, output: mpsc::Sender<Output>) {
+    let number = router.registry.enter(&job.key);
+    let (news, mut received) = mpsc::channel(NEWS);
+    let mut driver = Driver::new(router, job, claimed, news, number);
+    driver.run(&mut received, &output).await;
+    driver.router.registry.leave(number);
+}
+
+impl Driver {
+    fn new(
+        router: Arc<Router>,
+        job: Job,
+        claimed: Claimed,
+        news: mpsc::Sender<News>,
+        number: u64,
+    ) -> Self {
+        let now = router.timer.now();
+        let policy = job.profile.resume;
+        let generation = if claimed.tokens.is_empty() {
+            Generation::new(now, policy)
+        } else {
+            let is_whole = claimed.finish.is_some();
+            Generation::takeover(now, policy, claimed.tokens, is_whole, claimed.delivered)
+        };
+        let witnesses = router.witnesses(&job.key);
+        let replica = Replica::new(now, job.profile.witness, witnesses);
+        let (acks, acked) = mpsc::unbounded_channel();
+        let mut queue = VecDeque::new();
+        if claimed.is_restart {
+            queue.push_back(Output::Restart(claimed.header.generation()));
+        }
+        Self {
+            router,
+            job,
+            epoch: claimed.epoch,
+            header: claimed.header,
+            generation,
+            replica,
+            attempts: Attempts::new(news),
+            acks,
+            acked,
+            end: claimed.finish,
+            local: Offset(0),
+            touched: now,
+            is_verifying: false,
+            queue,
+            queued: 0,
+            is_reading: true,
+            is_caller_gone: false,
+            number,
+        }
+    }
+
+    async fn run(&mut self, received: &mut mpsc::Receiver<News>, output: &mpsc::Sender<Output>) {
+        self.begin();
+        loop {
+            self.note();
+            if self.generation.is_over() && (self.queue.is_empty() || self.is_caller_gone) {
+                break;
+            }
+            let now = self.router.timer.now();
+            let wake = self
+                .generation
+                .wake(now)
+                .min(self.replica.wake(now))
+                .min(self.touched + TOUCH);
+            let is_over = self.generation.is_over();
+            tokio::select! {
+                biased;
+                Some(acked) = self.acked.recv() => self.on_acked(acked),
+                permit = output.reserve(), if !self.queue.is_empty() && !self.is_caller_gone => {
+                    match permit {
+                        Ok(permit) => self.write(permit),
+                        Err(_) => self.caller_gone(),
+                    }
+                }
+                () = output.closed(), if !self.is_caller_gone => self.caller_gone(),
+                Some(news) = received.recv(), if self.is_reading && !is_over => self.on_news(news),
+                () = self.router.timer.at(wake), if !is_over => self.tick(),
+            }
+        }
+        self.finish();
+    }
+
+    /// Writes the first journal and opens or resumes the first stream.
+    fn begin(&mut self) {
+        let now = self.router.timer.now();
+        let mut actions = Vec::new();
+        let has_stream = self.header.stream.is_some();
+        if let Some(stream) = &self.header.stream {
+            self.attempts.adopt(&self.router, stream);
+        }
+        self.generation.start(now, has_stream, &mut actions);
+        self.carry_out(actions);
+        self.tell(Event::Tick);
+    }
+
+    /// Tells the generation what happened and carries out what it asks for.
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.router.timer.now();
+        self.generation.on(now, event, &mut actions);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Open { attempt, avoid, .. } => self.open(attempt, &avoid),
+            Action::Reattach { attempt, from } => self.reattach(attempt, from),
+            Action::Cancel(attempt) => self.attempts.cancel(attempt),
+            Action::Detach(attempt) => self.attempts.detach(attempt),
+            Action::Current(attempt) => self.make_current(attempt),
+            Action::Journal { length, finished } => self.journal(length, finished),
+            Action::Verify => self.verify(),
+            Action::Deliver { from, to } => self.deliver(from, to),
+            Action::KeepAlive => self.push(Output::KeepAlive),
+            Action::Recovered {
+                silence_ms,
+                same_stream,
+            } => self.recovered(silence_ms, same_stream),
+            Action::Restart => self.restart(),
+            Action::Finish => self.push_done(),
+            Action::Fail(failure) => self.fail(failure),
+        }
+    }
+
+    fn on_news(&mut self, news: News) {
+        if !self.attempts.is_current(news.attempt, news.connection) {
+            return;
+        }
+        if let Some(incarnation) = news.incarnation {
+            self.attempts.identify(news.attempt, incarnation);
+        }
+        if news.end.is_some() && self.end.is_none() {
+            self.end = news.end;
+        }
+        self.tell(news.event);
+    }
+
+    fn tick(&mut self) {
+        let now = self.router.timer.now();
+        if now.since(self.touched) >= TOUCH {
+            self.append_local();
+            let mut actions = Vec::new();
+            let witnesses = self.router.witnesses(&self.job.key);
+            self.replica.set_candidates(now, witnesses, &mut actions);
+            self.carry_out_replica(actions);
+        }
+        let mut actions = Vec::new();
+        self.replica.tick(now, &mut actions);
+        self.carry_out_replica(actions);
+        self.tell(Event::Tick);
+    }
+
+    fn caller_gone(&mut self) {
+        self.is_caller_gone = true;
+        self.queue.clear();
+        self.queued = 0;
+        self.tell(Event::CallerGone);
+        self.set_reading();
+    }
+
+    /// Begins a new generation under a higher epoch, so that the old journal is not continued.
+    fn restart(&mut self) {
+        let now = self.router.timer.now();
+        self.epoch = self.epoch.succeed(self.router.incarnation);
+        let link = Link {
+            generation: GenerationId(rand::random()),
+            start: Offset(0),
+        };
+        self.header.lineage = vec![link];
+        self.header.stream = None;
+        self.local = Offset(0);
+        self.end = None;
+        let witnesses = self.router.witnesses(&self.job.key);
+        self.replica = Replica::new(now, self.job.profile.witness, witnesses);
+        (self.acks, self.acked) = mpsc::unbounded_channel();
+        self.push(Output::Restart(link.generation));
+    }
+
+    fn recovered(&mut self, silence_ms: u64, same_stream: bool) {
+        let how = if same_stream { "reconnect" } else { "resume" };
+        let _ = self.router.metrics.count(&format!("recovered.{how}"), 1);
+        let _ = self.router.metrics.time("silence_ms", silence_ms);
+        log::info!(
+            "output goes on key={} host={} generation={} how={how} silence_ms={silence_ms}",
+            self.job.key,
+            self.router.settings.host,
+            self.header.generation()
+        );
+    }
+
+    fn deliver(&mut self, from: Offset, to: Offset) {
+        let range = from.0 as usize..to.0 as usize;
+        let tokens = self.generation.tokens()[range].to_vec();
+        self.queued += tokens.len();
+        self.push(Output::Tokens {
+            generation: self.header.generation(),
+            from,
+            tokens,
+        });
+        self.set_reading();
+    }
+
+    fn push_done(&mut self) {
+        self.push(Output::Done {
+            generation: self.header.generation(),
+            length: self.generation.next(),
+            end: self.end.unwrap_or(End::Stop),
+        });
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        log::warn!(
+            "request ended without its whole output key={} host={} cause=\"{failure}\"",
+            self.job.key,
+            self.router.settings.host
+        );
+        let kind = match failure {
+            Failure::Superseded => Kind::Superseded,
+            Failure::Invalid => Kind::Malformed,
+            Failure::Stalled | Failure::Attempts | Failure::ModelGone | Failure::Abandoned => {
+                Kind::Lost
+            }
+        };
+        let comes_back = matches!(failure, Failure::Stalled | Failure::Attempts);
+        self.push(Output::Failed(CallerError {
+            kind,
+            message: failure.to_string(),
+            ran: if self.generation.tokens().is_empty() {
+                Ran::NotRun
+            } else {
+                Ran::Ran
+            },
+            retry_after: comes_back.then_some(COME_BACK_S),
+        }));
+    }
+
+    fn push(&mut self, output: Output) {
+        if !self.is_caller_gone {
+            self.queue.push_back(output);
+        }
+    }
+
+    /// Hands the next output to the writer.
+    fn write(&mut self, permit: mpsc::Permit<'_, Output>) {
+        let Some(output) = self.queue.pop_front() else {
+            return;
+        };
+        if let Output::Tokens { tokens, .. } = &output {
+            self.queued -= tokens.len();
+        }
+        permit.send(output);
+        self.set_reading();
+    }
+
+    /// Reads the engines only while the caller keeps up.
+    fn set_reading(&mut self) {
+        let is_reading = self.queued < WINDOW;
+        if is_reading != self.is_reading {
+            self.is_reading = is_reading;
+            self.tell(Event::Reading(is_reading));
+        }
+    }
+
+    /// Keeps the state dump true.
+    fn note(&self) {
+        self.router.registry.note(self.number, || {
+            json!({
+                "service": self.job.service,
+                "model": self.job.model,
+                "epoch": self.epoch,
+                "generation": self.header.generation(),
+                "length": self.generation.next(),
+                "delivered": self.generation.delivered(),
+                "machine": self.generation,
+                "witness": self.replica,
+                "attempts": self.attempts.dump(),
+            })
+        });
+    }
+
+    /// Tells the witness that the journal need not be kept for a takeover.
+    fn finish(&mut self) {
+        self.attempts.detach_all();
+        if self.generation.is_whole() && !self.is_caller_gone {
+            self.close_journal();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -0,0 +1,264 @@
+//! The engine streams of one generation and their connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use engine::wire::{Generate, StreamName, prompt_blocks};
+use generation::{Event, OpenError};
+use journal::record::StreamRef;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::Driver;
+use crate::backends::{NoBackend, Placed, place};
+use crate::context::Router;
+use crate::stream::{Connection, News, cancel};
+
+/// The factor by which a profile's priority goes before the work already done.
+const PRIORITY_STEP: u32 = 1_000;
+
+/// One engine stream.
+#[derive(Debug)]
+struct Open {
+    attempt: Attempt,
+    backend: BackendId,
+    addr: SocketAddr,
+    name: StreamName,
+    incarnation: Option<Incarnation>,
+    /// The number of the connection in use.
+    connection: u64,
+    stop: CancellationToken,
+    is_over: bool,
+    /// Counts the stream at its backend server while it runs.
+    place: Option<Placed>,
+}
+
+/// All engine streams of a generation, the ended ones included.
+#[derive(Debug)]
+pub(super) struct Attempts {
+    streams: Vec<Open>,
+    connections: u64,
+    news: mpsc::Sender<News>,
+}
+
+impl Attempts {
+    pub(super) fn new(news: mpsc::Sender<News>) -> Self {
+        Self {
+            streams: Vec::new(),
+            connections: 0,
+            news,
+        }
+    }
+
+    /// Takes the stream of a previous owner as attempt 1.
+    pub(super) fn adopt(&mut self, router: &Router, stream: &StreamRef) {
+        let snapshot = router.snapshot();
+        let found = snapshot
+            .backends
+            .iter()
+            .find(|b| b.seen.backend == stream.backend);
+        self.streams.push(Open {
+            attempt: Attempt(1),
+            backend: stream.backend.clone(),
+            addr: stream.addr,
+            name: StreamName(stream.name.clone()),
+            incarnation: Some(stream.incarnation),
+            connection: 0,
+            stop: CancellationToken::new(),
+            is_over: false,
+            place: found.map(|b| Placed::new(b.clone())),
+        });
+    }
+
+    /// Whether news of this connection counts.
+    pub(super) fn is_current(&self, attempt: Attempt, connection: u64) -> bool {
+        let counts = |s: &Open| s.attempt == attempt && s.connection == connection && !s.is_over;
+        self.streams.iter().any(counts)
+    }
+
+    /// Notes the life of the engine that runs an attempt.
+    pub(super) fn identify(&mut self, attempt: Attempt, incarnation: Incarnation) {
+        if let Some(stream) = self.find(attempt) {
+            stream.incarnation = Some(incarnation);
+        }
+    }
+
+    /// Ends an attempt and its stream on the engine.
+    pub(super) fn cancel(&mut self, attempt: Attempt) {
+        let Some(stream) = self.find(attempt) else {
+            return;
+        };
+        if stream.is_over {
+            return;
+        }
+        stream.end();
+        tokio::spawn(cancel(stream.addr, stream.name.clone()));
+    }
+
+    /// Ends an attempt and leaves its stream on the engine to others.
+    pub(super) fn detach(&mut self, attempt: Attempt) {
+        if let Some(stream) = self.find(attempt) {
+            stream.end();
+        }
+    }
+
+    /// Closes all connections.
+    pub(super) fn detach_all(&mut self) {
+        self.streams.iter_mut().for_each(Open::end);
+    }
+
+    /// What a takeover needs to resume an attempt.
+    pub(super) fn reference(&self, attempt: Attempt) -> Option<StreamRef> {
+        let stream = self.streams.iter().find(|s| s.attempt == attempt)?;
+        Some(StreamRef {
+            name: stream.name.0.clone(),
+            backend: stream.backend.clone(),
+            addr: stream.addr,
+            incarnation: stream.incarnation?,
+        })
+    }
+
+    /// The backend servers of some attempts.
+    fn backends(&self, attempts: &[Attempt]) -> Vec<BackendId> {
+        let is_one = |s: &&Open| attempts.contains(&s.attempt);
+        let found = self.streams.iter().filter(is_one);
+        found.map(|s| s.backend.clone()).collect()
+    }
+
+    pub(super) fn dump(&self) -> Vec<Value> {
+        let one = |s: &Open| {
+            json!({
+                "attempt": s.attempt,
+                "backend": s.backend,
+                "stream": s.name,
+                "connection": s.connection,
+                "is_over": s.is_over,
+            })
+        };
+        self.streams.iter().map(one).collect()
+    }
+
+    /// A new connection for an attempt; the one before it is closed.
+    fn connect(&mut self, attempt: Attempt, limit: Duration) -> Option<(Connection, StreamName)> {
+        self.connections += 1;
+        let number = self.connections;
+        let news = self.news.clone();
+        let stream = self.find(attempt)?;
+        stream.stop.cancel();
+        stream.stop = CancellationToken::new();
+        stream.connection = number;
+        let connection = Connection {
+            addr: stream.addr,
+            attempt,
+            number,
+            incarnation: stream.incarnation,
+            limit,
+            news,
+            stop: stream.stop.clone(),
+        };
+        Some((connection, stream.name.clone()))
+    }
+
+    fn find(&mut self, attempt: Attempt) -> Option<&mut Open> {
+        self.streams.iter_mut().find(|s| s.attempt == attempt)
+    }
+}
+
+impl Open {
+    fn end(&mut self) {
+        self.stop.cancel();
+        self.is_over = true;
+        self.place = None;
+    }
+}
+
+impl Driver {
+    /// Chooses a backend server and starts a stream there.
+    pub(super) fn open(&mut self, attempt: Attempt, avoid: &[Attempt]) {
+        let avoid = self.attempts.backends(avoid);
+        let snapshot = self.router.snapshot();
+        let blocks = prompt_blocks(&self.job.prompt);
+        let placed = place(
+            &snapshot,
+            &self.router.settings.data_centre,
+            &self.job.service,
+            Some(&self.job.model),
+            &blocks,
+            &avoid,
+        );
+        match placed {
+            Ok(placed) => self.open_at(attempt, placed),
+            Err(why) => {
+                let cause = match why {
+                    NoBackend::None => OpenError::NoBackend,
+                    NoBackend::NoModel => OpenError::ModelGone,
+                };
+                self.tell(Event::OpenFailed { attempt, cause });
+            }
+        }
+    }
+
+    fn open_at(&mut self, attempt: Attempt, placed: Placed) {
+        let generation = self.header.generation();
+        let name = StreamName::new(generation, self.router.incarnation, attempt);
+        let seen = &placed.backend.seen;
+        log::debug!(
+            "stream opens key={} host={} attempt={attempt} backend={}",
+            self.job.key,
+            self.router.settings.host,
+            seen.backend
+        );
+        self.attempts.streams.push(Open {
+            attempt,
+            backend: seen.backend.clone(),
+            addr: seen.addr,
+            name: name.clone(),
+            incarnation: None,
+            connection: 0,
+            stop: CancellationToken::new(),
+            is_over: false,
+            place: Some(placed),
+        });
+        let body = self.engine_request(name);
+        let limit = self.open_limit();
+        if let Some((connection, _)) = self.attempts.connect(attempt, limit) {
+            tokio::spawn(connection.generate(body));
+        }
+    }
+
+    /// Reads the stream of an attempt over a new connection.
+    pub(super) fn reattach(&mut self, attempt: Attempt, from: Offset) {
+        let limit = self.open_limit();
+        if let Some((connection, name)) = self.attempts.connect(attempt, limit) {
+            tokio::spawn(connection.resume(name, from));
+        }
+    }
+
+    fn open_limit(&self) -> Duration {
+        Millis(self.job.profile.resume.open_ms).duration()
+    }
+
+    /// The engine's share of the request, after the tokens so far.
+    fn engine_request(&self, stream: StreamName) -> Generate {
+        let tokens = self.generation.tokens();
+        let done = u32::try_from(tokens.len()).unwrap_or(u32::MAX);
+        let priority = self.job.profile.priority;
+        Generate {
+            stream,
+            model: self.job.model.clone(),
+            prompt: self.job.prompt.to_string(),
+            prefix: tokens.iter().map(|t| t.id).collect(),
+            max_tokens: self.job.max_tokens,
+            priority: priority.saturating_mul(PRIORITY_STEP) + done.min(PRIORITY_STEP - 1),
+            deadline_ms: None,
+        }
+    }
+
+    /// Names the stream in the journal, so that a takeover can resume it.
+    pub(super) fn make_current(&mut self, attempt: Attempt) {
+        self.header.stream = self.attempts.reference(attempt);
+        self.write_header();
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/drive/journalling.rs
@@ -0,0 +1,146 @@
+//! The journal of one generation, here and at its witness.
+
+use base::prelude::*;
+use generation::Event;
+use journal::record::{Append, Refusal};
+use journal::replica::Action;
+
+use super::Driver;
+use crate::links::{Acked, Done, Item};
+
+impl Driver {
+    /// Writes the tokens before `length` to the journals.
+    pub(super) fn journal(&mut self, length: Offset, finished: bool) {
+        if !self.append_local() {
+            return;
+        }
+        let now = self.router.timer.now();
+        let mut actions = Vec::new();
+        self.replica.grow(now, length, finished, &mut actions);
+        self.carry_out_replica(actions);
+    }
+
+    /// Writes the header to the journals.
+    pub(super) fn write_header(&mut self) {
+        if !self.append_local() {
+            return;
+        }
+        let now = self.router.timer.now();
+        let mut actions = Vec::new();
+        self.replica.touch(now, &mut actions);
+        self.carry_out_replica(actions);
+    }
+
+    /// Confirms that no other router owns the request.
+    pub(super) fn verify(&mut self) {
+        if !self.append_local() {
+            return;
+        }
+        if self.replica.witness().is_none() {
+            self.tell(Event::Verified);
+            return;
+        }
+        self.is_verifying = true;
+        let now = self.router.timer.now();
+        let mut actions = Vec::new();
+        self.replica.verify(now, &mut actions);
+        self.carry_out_replica(actions);
+    }
+
+    /// Takes in the answer of a witness.
+    pub(super) fn on_acked(&mut self, acked: Acked) {
+        let now = self.router.timer.now();
+        let is_expected = self.replica.expects(acked.call);
+        let mut actions = Vec::new();
+        match acked.answer {
+            Some(Ok(held)) => self.replica.acked(now, acked.call, held, &mut actions),
+            Some(Err(refusal)) => self.replica.refused(now, acked.call, refusal, &mut actions),
+            None => self.replica.failed(now, acked.call, &mut actions),
+        }
+        self.carry_out_replica(actions);
+        let is_confirmed = is_expected && matches!(acked.answer, Some(Ok(_)));
+        if self.is_verifying && (is_confirmed || self.replica.witness().is_none()) {
+            self.is_verifying = false;
+            self.tell(Event::Verified);
+        }
+    }
+
+    pub(super) fn carry_out_replica(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    host,
+                    from,
+                    with_header,
+                    call,
+                } => self.send(&host, from, with_header, call),
+                Action::Advance(upto) => self.tell(Event::Released(upto)),
+                Action::Superseded(_) => self.tell(Event::Superseded),
+            }
+        }
+    }
+
+    /// Sends tokens to a witness.
+    fn send(&mut self, host: &HostId, from: Offset, with_header: bool, call: u64) {
+        let to = self.acks.clone();
+        let Some(addr) = self.router.address(host) else {
+            let lost = Acked { call, answer: None };
+            // The receiving end is part of this driver.
+            let _ = to.send(lost);
+            return;
+        };
+        let append = self.append_from(from, with_header);
+        let done = Done { call, to };
+        self.router.links.peer(addr).append(Item { append, done });
+    }
+
+    /// Writes what is new to this host's own journal; returns whether the request is still owned.
+    pub(super) fn append_local(&mut self) -> bool {
+        let now = self.router.timer.now();
+        self.touched = now;
+        let append = self.append_from(self.local, true);
+        match self.router.shelf.append(now, append) {
+            Ok(held) => self.local = held,
+            Err(Refusal::Sealed(_)) => {
+                self.tell(Event::Superseded);
+                return false;
+            }
+            // Without room here the witness alone keeps the journal.
+            Err(_) => {}
+        }
+        true
+    }
+
+    /// The tokens from `from` on, as an append.
+    fn append_from(&self, from: Offset, with_header: bool) -> Append {
+        let tokens = self.generation.tokens();
+        let from = Offset(from.0.min(tokens.len() as u64));
+        Append {
+            key: self.job.key.clone(),
+            epoch: self.epoch,
+            header: with_header.then(|| self.header.clone()),
+            from,
+            tokens: tokens[from.0 as usize..].to_vec(),
+            finish: self.end.filter(|_| self.generation.is_whole()),
+        }
+    }
+
+    /// Tells all who hold the journal that the caller has the whole answer.
+    pub(super) fn close_journal(&self) {
+        let now = self.router.timer.now();
+        self.router.shelf.close(now, &self.job.key, self.epoch);
+        let witness = self.replica.witness();
+        let Some(addr) = witness.and_then(|h| self.router.address(h)) else {
+            return;
+        };
+        let peer = self.router.links.peer(addr);
+        let (key, epoch) = (self.job.key.clone(), self.epoch);
+        tokio::spawn(async move {
+            // Without this call the witness drops the journal after a while.
+            let _ = peer.link.close(&key, epoch, CLOSE_LIMIT).await;
+        });
+    }
+}
+
+/// The longest wait for a witness to take note of the end.
+const CLOSE_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_000);
--- /dev/null
+++ b/crates/gooseberry-router/src/http.rs
@@ -0,0 +1,42 @@
+//! The callers' entry.
+
+use std::sync::Arc;
+
+use cadence::prelude::*;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use web::Response;
+
+use crate::completions;
+use crate::context::Router;
+use crate::errors::{CallerError, Kind};
+
+/// Answers one request of a caller.
+pub async fn handle(router: Arc<Router>, request: Request<Incoming>) -> Response {
+    let answered = match router.ready() {
+        Ok(()) => route(&router, request).await,
+        Err(reason) => Err(CallerError::not_run(Kind::NotReady, reason).retry_after(1)),
+    };
+    match answered {
+        Ok(response) => response,
+        Err(error) => {
+            let name = format!("refused.{}", error.kind);
+            // Metrics that cannot be sent are no concern of the caller.
+            let _ = router.metrics.count(&name, 1);
+            error.response()
+        }
+    }
+}
+
+async fn route(router: &Arc<Router>, request: Request<Incoming>) -> Result<Response, CallerError> {
+    let path = request.uri().path();
+    if path == "/v1/completions" {
+        if request.method() != Method::POST {
+            let message = "completions are asked for by POST";
+            return Err(CallerError::not_run(Kind::MethodNotAllowed, message));
+        }
+        return completions::handle(router, request).await;
+    }
+    let message = format!("there is nothing at {path}; try /v1/completions");
+    Err(CallerError::not_run(Kind::NotFound, message))
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/registry.rs
@@ -0,0 +1,69 @@
+//! The requests in flight, for state dumps and a planned stop.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use base::prelude::*;
+use base::sorted::Sorted;
+use serde_json::{Value, json};
+
+/// One request in flight.
+#[derive(Clone, Debug)]
+struct Entry {
+    key: RequestKey,
+    state: Value,
+}
+
+/// The last known state of each request in flight.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: Mutex<Sorted<u64, Entry>>,
+    last: AtomicU64,
+}
+
+impl Registry {
+    /// Enters a request and returns its number.
+    pub fn enter(&self, key: &RequestKey) -> u64 {
+        let number = self.last.fetch_add(1, Ordering::Relaxed);
+        let entry = Entry {
+            key: key.clone(),
+            state: Value::Null,
+        };
+        self.lock().insert(number, entry);
+        number
+    }
+
+    /// Notes the state of a request, if a dump was asked for lately or none was noted yet.
+    pub fn note(&self, number: u64, state: impl FnOnce() -> Value) {
+        if let Some(entry) = self.lock().get_mut(&number) {
+            entry.state = state();
+        }
+    }
+
+    /// Takes a request out.
+    pub fn leave(&self, number: u64) {
+        self.lock().remove(&number);
+    }
+
+    /// How many requests are in flight.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// All requests, for a state dump.
+    pub fn dump(&self) -> Vec<Value> {
+        self.lock()
+            .iter()
+            .map(|(_, e)| json!({ "key": e.key, "state": e.state }))
+            .collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Sorted<u64, Entry>> {
+        self.entries.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/run.rs
@@ -0,0 +1,143 @@
+//! Starts the parts of a router and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use engine::wire::StreamName;
+use peer::router::Sealed;
+use peer::serve::RouterServer;
+use settings::router::Router as Settings;
+use thiserror::Error;
+use timer::Timer;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::context::Router;
+use crate::{admin, config, http, stream};
+
+/// The time between looks for journals that have been held long enough.
+const EXPIRE: Millis = Millis(1_000);
+
+/// The time between looks at what a planned stop still waits for.
+const DRAIN_LOOK: Millis = Millis(50);
+
+/// Why a router cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be had.
+    #[error("cannot listen on {addr}: {cause}; correct `{place}` in the settings")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The path in the settings.
+        place: &'static str,
+        /// The cause given by the system.
+        cause: std::io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::metrics::MetricsError),
+}
+
+/// Runs a router until `stop` is cancelled and the requests in flight have ended.
+///
+/// # Errors
+///
+/// Any [`StartError`].
+pub async fn run(settings: Settings, stop: CancellationToken) -> Result<(), StartError> {
+    let listen = settings.listen;
+    let callers = bind(listen.callers, "listen.callers").await?;
+    let peers = bind(listen.peers, "listen.peers").await?;
+    let operators = bind(listen.admin, "listen.admin").await?;
+    let metrics = telemetry::metrics::start("router", settings.host.as_str(), settings.statsd)?;
+    log::info!(
+        "router started host={} callers={} peers={} admin={}",
+        settings.host,
+        listen.callers,
+        listen.peers,
+        listen.admin
+    );
+    let router = Arc::new(Router::new(settings, Timer::start(), metrics));
+    let end = CancellationToken::new();
+    let loops = [
+        tokio::spawn(config::follow(router.clone())),
+        tokio::spawn(expire(router.clone())),
+        tokio::spawn(serve_peers(router.clone(), peers, end.clone())),
+    ];
+    let (r, e) = (router.clone(), end.clone());
+    let serving_callers = tokio::spawn(web::server::serve(callers, e, move |request| {
+        http::handle(r.clone(), request)
+    }));
+    let (r, e) = (router.clone(), end.clone());
+    let serving_operators = tokio::spawn(web::server::serve(operators, e, move |request| {
+        admin::handle(r.clone(), request)
+    }));
+    stop.cancelled().await;
+    drain(&router).await;
+    end.cancel();
+    // A task that failed has nothing left to wait for.
+    let _ = serving_callers.await;
+    serving_operators.abort();
+    for task in loops {
+        task.abort();
+    }
+    log::info!("router stopped host={}", router.settings.host);
+    Ok(())
+}
+
+/// Takes no new work and waits for the requests in flight.
+async fn drain(router: &Router) {
+    log::info!("router leaves host={}", router.settings.host);
+    router.drain.cancel();
+    router.shelf.leave();
+    let limit = router.timer.now() + Millis(router.settings.drain_ms);
+    while !router.registry.is_empty() && router.timer.now() < limit {
+        router.timer.after(DRAIN_LOOK).await;
+    }
+}
+
+/// Serves the calls of other routers.
+async fn serve_peers(router: Arc<Router>, listener: TcpListener, stop: CancellationToken) {
+    let (a, s, c) = (router.clone(), router.clone(), router);
+    let server = RouterServer {
+        append: move |batch: Vec<journal::record::Append>| {
+            let now = a.timer.now();
+            batch
+                .into_iter()
+                .map(|one| a.shelf.append(now, one))
+                .collect()
+        },
+        seal: move |key: RequestKey, epoch: Epoch, digest: u64| {
+            let sealed = s.shelf.seal(s.timer.now(), &key, epoch, digest);
+            sealed.map(|snapshot| Sealed { snapshot })
+        },
+        close: move |key: RequestKey, epoch: Epoch| {
+            c.shelf.close(c.timer.now(), &key, epoch);
+        },
+    };
+    peer::serve::router(listener, stop, server).await;
+}
+
+/// Drops old journals and ends the engine streams that they leave behind.
+async fn expire(router: Arc<Router>) {
+    let mut ticks = router.timer.every(EXPIRE);
+    loop {
+        let now = ticks.next().await;
+        for orphan in router.shelf.expire(now) {
+            log::warn!(
+                "stream without owner cancelled key={} host={} stream={}",
+                orphan.key,
+                router.settings.host,
+                orphan.stream.name
+            );
+            let name = StreamName(orphan.stream.name);
+            tokio::spawn(stream::cancel(orphan.stream.addr, name));
+        }
+    }
+}
+
+async fn bind(addr: SocketAddr, place: &'static str) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|cause| StartError::Listen { addr, place, cause })
+}
--- /dev/null
+++ b/crates/gooseberry-standin/src/engine/batch.rs
@@ -0,0 +1,316 @@
+//! The batch of an engine: one step gives one token to each running stream.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::prelude::*;
+use base::sorted::Sorted;
+use engine::wire::{
+    Generate, Load, Order, OrderState, Refusal, RefusalKind, Role, StreamName, prompt_blocks,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::{Instant, sleep};
+
+use super::cache::Cache;
+use super::stream::Stream;
+use super::{Settings, Stats};
+use crate::faults::Faults;
+
+/// The prompt bytes that count as one token.
+const TOKEN_BYTES: usize = 4;
+
+/// The time between looks for streams without a reader.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// A stream in its place.
+struct Place {
+    stream: Arc<Stream>,
+    /// When its first token is due.
+    ready: Instant,
+}
+
+/// All that changes in an engine.
+struct Inner {
+    running: Vec<Place>,
+    waiting: Vec<Arc<Stream>>,
+    streams: Sorted<StreamName, Arc<Stream>>,
+    cache: Cache,
+    stats: Stats,
+    orders: OrderState,
+    loads: Vec<(Instant, Load)>,
+    random: StdRng,
+}
+
+/// An engine.
+pub(super) struct Batch {
+    pub(super) settings: Settings,
+    pub(super) faults: Faults,
+    pub(super) incarnation: Incarnation,
+    inner: Mutex<Inner>,
+}
+
+impl Batch {
+    pub(super) fn new(settings: Settings) -> Self {
+        let incarnation = Incarnation(rand::random());
+        let orders = OrderState {
+            incarnation,
+            fence: 0,
+            models: settings.models.clone(),
+            loading: Vec::new(),
+            role: Role::Mixed,
+        };
+        let inner = Inner {
+            running: Vec::new(),
+            waiting: Vec::new(),
+            streams: Sorted::default(),
+            cache: Cache::new(settings.cache_blocks, settings.event_loss),
+            stats: Stats::default(),
+            orders,
+            loads: Vec::new(),
+            random: StdRng::seed_from_u64(settings.seed),
+        };
+        Self {
+            settings,
+            faults: Faults::default(),
+            incarnation,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Takes a new stream.
+    pub(super) fn generate(&self, request: Generate) -> Result<Arc<Stream>, Refusal> {
+        let is_leaving = self.faults.state().leaving;
+        let mut inner = self.lock();
+        if is_leaving {
+            return Err(refusal(RefusalKind::NotReady, "the engine is leaving"));
+        }
+        if !inner.orders.models.contains(&request.model) {
+            return Err(refusal(RefusalKind::NoModel, "the model is not loaded"));
+        }
+        if inner.streams.get(&request.stream).is_some() {
+            let message = "the stream exists; resume it or choose another name";
+            return Err(refusal(RefusalKind::Invalid, message));
+        }
+        if inner.waiting.len() >= self.settings.queue {
+            return Err(refusal(RefusalKind::Busy, "the queue is full"));
+        }
+        let blocks = prompt_blocks(&request.prompt);
+        let hits = inner.cache.hits(&blocks) * engine::wire::BLOCK_BYTES / TOKEN_BYTES;
+        let whole = request.prompt.len() / TOKEN_BYTES + request.prefix.len();
+        let prefill = whole.saturating_sub(hits) as u64;
+        let stream = Arc::new(Stream::new(request, hits as u64, prefill));
+        inner.stats.streams += 1;
+        inner.stats.prefill += prefill;
+        inner.stats.cached += hits as u64;
+        let mut drops = self.faults.state().drop_events;
+        inner.cache.store(&blocks, &mut drops);
+        self.faults.with(|s| s.drop_events = drops);
+        let name = stream.request.stream.clone();
+        inner.streams.insert(name, stream.clone());
+        let priority = stream.request.priority;
+        let i = inner
+            .waiting
+            .partition_point(|s| s.request.priority >= priority);
+        inner.waiting.insert(i, stream.clone());
+        self.admit(&mut inner);
+        Ok(stream)
+    }
+
+    /// The stream called `name`.
+    pub(super) fn stream(&self, name: &StreamName) -> Option<Arc<Stream>> {
+        self.lock().streams.get(name).cloned()
+    }
+
+    /// Ends a stream; returns whether it was known.
+    pub(super) fn cancel(&self, name: &StreamName) -> bool {
+        let mut inner = self.lock();
+        let Some(stream) = inner.streams.remove(name) else {
+            return false;
+        };
+        drop_stream(&mut inner, &stream);
+        self.admit(&mut inner);
+        true
+    }
+
+    /// What the engine has done.
+    pub(super) fn stats(&self) -> Stats {
+        let inner = self.lock();
+        Stats {
+            live: (inner.running.len() + inner.waiting.len()) as u64,
+            ..inner.stats
+        }
+    }
+
+    /// The cache events after number `after`.
+    pub(super) fn events(&self, after: u64) -> Vec<engine::wire::CacheEvent> {
+        let lag = Duration::from_millis(self.settings.event_lag_ms);
+        self.lock().cache.events(after, lag)
+    }
+
+    /// The newest load report that is old enough to be out.
+    pub(super) fn load(&self) -> Load {
+        let faults = self.faults.state();
+        let lag = Duration::from_millis(self.settings.load_lag_ms);
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let current = Load {
+            incarnation: self.incarnation,
+            running: inner.running.len() as u64,
+            queued: inner.waiting.len() as u64,
+            slots: self.settings.slots as u64,
+            leaving: faults.leaving,
+            models: inner.orders.models.clone(),
+            age_ms: 0,
+        };
+        if !faults.freeze_load {
+            inner.loads.push((now, current.clone()));
+        }
+        let is_out = |at: Instant| now.duration_since(at) >= lag;
+        // The last report that is out stays; those before it are of no more use.
+        let last = inner.loads.iter().rposition(|(at, _)| is_out(*at));
+        if let Some(i) = last {
+            inner.loads.drain(..i);
+        }
+        match inner.loads.first() {
+            Some((at, report)) => Load {
+                age_ms: now.duration_since(*at).as_millis() as u64,
+                // Whether an engine leaves does not lag: it refuses work by itself.
+                leaving: faults.leaving,
+                ..report.clone()
+            },
+            None => current,
+        }
+    }
+
+    /// What orders have led to.
+    pub(super) fn order_state(&self) -> OrderState {
+        self.lock().orders.clone()
+    }
+
+    /// Takes an order.
+    pub(super) fn order(self: &Arc<Self>, order: Order) -> Result<OrderState, Refusal> {
+        let mut inner = self.lock();
+        if self.settings.checks_fence && order.fence < inner.orders.fence {
+            inner.stats.fenced += 1;
+            return Err(refusal(
+                RefusalKind::Fenced,
+                "a higher fencing number was seen",
+            ));
+        }
+        let state = &mut inner.orders;
+        state.fence = state.fence.max(order.fence);
+        state.role = order.role;
+        state.models.retain(|m| order.models.contains(m));
+        state.loading.retain(|m| order.models.contains(m));
+        for model in order.models {
+            if state.models.contains(&model) || state.loading.contains(&model) {
+                continue;
+            }
+            state.loading.push(model.clone());
+            tokio::spawn(finish_loading(self.clone(), model));
+        }
+        Ok(inner.orders.clone())
+    }
+
+    /// One step of the batch; returns how long the next one takes.
+    fn step(&self) -> Duration {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let mut given = 0;
+        let mut ended = Vec::new();
+        inner.running.retain(|place| {
+            if place.ready > now {
+                return true;
+            }
+            given += 1;
+            let goes_on = place.stream.step();
+            if !goes_on {
+                ended.push(place.stream.clone());
+            }
+            goes_on
+        });
+        inner.stats.decode += given;
+        self.admit(&mut inner);
+        let jitter = match self.settings.jitter_ms {
+            0 => 0,
+            most => inner.random.random_range(0..=most),
+        };
+        Duration::from_millis(self.settings.gap_ms + jitter)
+    }
+
+    /// Lets waiting streams take free places.
+    fn admit(&self, inner: &mut Inner) {
+        while inner.running.len() < self.settings.slots && !inner.waiting.is_empty() {
+            let stream = inner.waiting.remove(0);
+            let first = Duration::from_millis(self.settings.first_ms);
+            let prefill = Duration::from_micros(self.settings.prefill_us * stream.prefill);
+            let ready = Instant::now() + first + prefill;
+            inner.running.push(Place { stream, ready });
+        }
+    }
+
+    /// Ends streams that nobody has read for a while.
+    fn sweep(&self) {
+        let linger = Duration::from_millis(self.settings.linger_ms);
+        let mut inner = self.lock();
+        let is_left = |s: &Arc<Stream>| s.alone_since().is_some_and(|t| t.elapsed() >= linger);
+        let left: Vec<Arc<Stream>> = inner
+            .streams
+            .iter()
+            .filter(|(_, s)| is_left(s))
+            .map(|(_, s)| s.clone())
+            .collect();
+        for stream in left {
+            inner.streams.remove(&stream.request.stream);
+            drop_stream(&mut inner, &stream);
+        }
+        self.admit(&mut inner);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// Steps the batch for ever.
+pub(super) async fn run(batch: Arc<Batch>) {
+    let mut swept = Instant::now();
+    loop {
+        let pace = batch.step();
+        sleep(pace).await;
+        batch.faults.pause().await;
+        if swept.elapsed() >= SWEEP {
+            swept = Instant::now();
+            batch.sweep();
+        }
+    }
+}
+
+/// Puts a model into memory once it is loaded, if it is still wanted.
+async fn finish_loading(batch: Arc<Batch>, model: Model) {
+    sleep(Duration::from_millis(batch.settings.load_ms)).await;
+    let mut inner = batch.lock();
+    let state = &mut inner.orders;
+    if let Some(i) = state.loading.iter().position(|m| *m == model) {
+        state.loading.remove(i);
+        state.models.push(model);
+    }
+}
+
+/// Takes a stream out of the batch.
+fn drop_stream(inner: &mut Inner, stream: &Arc<Stream>) {
+    stream.cancel();
+    let before = inner.running.len() + inner.waiting.len();
+    inner.running.retain(|p| !Arc::ptr_eq(&p.stream, stream));
+    inner.waiting.retain(|s| !Arc::ptr_eq(s, stream));
+    let after = inner.running.len() + inner.waiting.len();
+    inner.stats.cancelled += (before - after) as u64;
+}
+
+fn refusal(kind: RefusalKind, message: &str) -> Refusal {
+    Refusal {
+        kind,
+        message: message.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-standin/src/engine/cache.rs
@@ -0,0 +1,81 @@
+//! The prefix cache of an engine, and the events that tell of it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use engine::wire::CacheEvent;
+use tokio::time::Instant;
+
+/// The most events kept for readers.
+const MAX_EVENTS: usize = 16_384;
+
+/// The blocks that an engine holds, the least recently used first.
+#[derive(Debug)]
+pub(super) struct Cache {
+    capacity: usize,
+    blocks: VecDeque<u64>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    seq: u64,
+    loss: u64,
+}
+
+impl Cache {
+    pub(super) fn new(capacity: usize, loss: u64) -> Self {
+        Self {
+            capacity,
+            blocks: VecDeque::new(),
+            events: VecDeque::new(),
+            seq: 0,
+            loss,
+        }
+    }
+
+    /// How many of `blocks`, from the first on, are held.
+    pub(super) fn hits(&self, blocks: &[u64]) -> usize {
+        let is_held = |b: &&u64| self.blocks.contains(b);
+        blocks.iter().take_while(is_held).count()
+    }
+
+    /// Stores `blocks` as the most recently used.
+    pub(super) fn store(&mut self, blocks: &[u64], drop_events: &mut u64) {
+        for block in blocks {
+            match self.blocks.iter().position(|b| b == block) {
+                Some(i) => {
+                    self.blocks.remove(i);
+                }
+                None => self.note(*block, true, drop_events),
+            }
+            self.blocks.push_back(*block);
+        }
+        while self.blocks.len() > self.capacity {
+            if let Some(block) = self.blocks.pop_front() {
+                self.note(block, false, drop_events);
+            }
+        }
+    }
+
+    /// The events after number `after` that are at least `lag` old.
+    pub(super) fn events(&self, after: u64, lag: Duration) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        self.events
+            .iter()
+            .filter(|(at, e)| e.seq > after && now.duration_since(*at) >= lag)
+            .map(|(_, e)| e.clone())
+            .collect()
+    }
+
+    fn note(&mut self, block: u64, stored: bool, drop_events: &mut u64) {
+        self.seq += 1;
+        let is_lost = self.loss > 0 && self.seq.is_multiple_of(self.loss);
+        if is_lost || *drop_events > 0 {
+            *drop_events = drop_events.saturating_sub(1);
+            return;
+        }
+        let seq = self.seq;
+        let event = CacheEvent { seq, block, stored };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-standin/src/engine/http.rs
@@ -0,0 +1,192 @@
+//! The HTTP interface of an engine.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use engine::wire::{CacheEvents, Frame, Generate, Order, Refusal, RefusalKind, StreamName};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::Serialize;
+use web::{BodySender, Response, StreamCut, reply};
+
+use super::batch::Batch;
+use super::stream::Stream;
+
+/// The largest request body, in bytes.
+const MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Answers one request.
+pub(super) async fn handle(batch: Arc<Batch>, request: Request<Incoming>) -> Response {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    if path == "/faults" {
+        return batch.faults.switch(request).await;
+    }
+    batch.faults.hold().await;
+    if batch.faults.state().outage {
+        return refuse(&refusal(
+            RefusalKind::NotReady,
+            "the engine is out of order",
+        ));
+    }
+    let method = request.method().clone();
+    match (&method, path.as_str()) {
+        (&Method::POST, "/v1/generate") => generate(batch, request).await,
+        (&Method::GET, "/v1/load") => ok(&batch.load()),
+        (&Method::GET, "/v1/cache/events") => ok(&CacheEvents {
+            incarnation: batch.incarnation,
+            events: batch.events(number(&query, "after")),
+        }),
+        (&Method::GET, "/v1/orders") => ok(&batch.order_state()),
+        (&Method::POST, "/v1/orders") => order(&batch, request).await,
+        (&Method::GET, "/stats") => ok(&batch.stats()),
+        _ => stream(batch, &method, &path, number(&query, "offset")),
+    }
+}
+
+/// Answers a request for one stream.
+fn stream(batch: Arc<Batch>, method: &Method, path: &str, offset: u64) -> Response {
+    let Some(name) = path.strip_prefix("/v1/streams/") else {
+        return refuse(&refusal(RefusalKind::Invalid, "no such path"));
+    };
+    let name = StreamName(name.to_owned());
+    let unknown = refusal(RefusalKind::NoStream, "no such stream");
+    if *method == Method::DELETE {
+        let was_known = batch.cancel(&name);
+        return if was_known { ok(&()) } else { refuse(&unknown) };
+    }
+    match batch.stream(&name) {
+        Some(found) if offset >= found.start => read(batch, found, offset),
+        _ => refuse(&unknown),
+    }
+}
+
+async fn generate(batch: Arc<Batch>, request: Request<Incoming>) -> Response {
+    let body: Generate = match reply::read_json(request, MAX_BYTES).await {
+        Ok(body) => body,
+        Err(e) => return refuse(&refusal(RefusalKind::Invalid, &e.to_string())),
+    };
+    match batch.generate(body) {
+        Ok(stream) => {
+            let start = stream.start;
+            read(batch, stream, start)
+        }
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+async fn order(batch: &Arc<Batch>, request: Request<Incoming>) -> Response {
+    let body: Order = match reply::read_json(request, MAX_BYTES).await {
+        Ok(body) => body,
+        Err(e) => return refuse(&refusal(RefusalKind::Invalid, &e.to_string())),
+    };
+    match batch.order(body) {
+        Ok(state) => ok(&state),
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+/// Starts to write a stream from `offset` on.
+fn read(batch: Arc<Batch>, stream: Arc<Stream>, offset: u64) -> Response {
+    let (sender, response) = reply::events();
+    stream.join();
+    tokio::spawn(async move {
+        // An error means that the reader is gone, which the count of readers tells.
+        let _ = write(&batch, &stream, offset, sender).await;
+        stream.leave();
+    });
+    response
+}
+
+/// Writes tokens as they come, up to the end.
+async fn write(
+    batch: &Batch,
+    stream: &Stream,
+    offset: u64,
+    mut sender: BodySender,
+) -> Result<(), StreamCut> {
+    let number = batch.faults.open_stream();
+    let mut news = stream.subscribe();
+    let mut offset = offset;
+    let start = Frame::Start {
+        offset: Offset(offset),
+        incarnation: batch.incarnation,
+        cached: stream.cached,
+        prefill: stream.prefill,
+    };
+    send(&mut sender, &[start]).await?;
+    loop {
+        let tokens = stream.tokens(offset);
+        if batch.faults.is_silent(number) {
+            return std::future::pending().await;
+        }
+        if stream.is_cancelled() {
+            sender.abort(StreamCut);
+            return Ok(());
+        }
+        let (length, finish) = stream.end();
+        let mut frames = Vec::with_capacity(tokens.len() + 1);
+        for token in tokens {
+            frames.push(Frame::Token {
+                offset: Offset(offset),
+                token,
+            });
+            offset += 1;
+        }
+        if offset >= length {
+            frames.push(Frame::End { length, finish });
+            return send(&mut sender, &frames).await;
+        }
+        if !frames.is_empty() {
+            send(&mut sender, &frames).await?;
+        }
+        // The stream outlives its readers, so that its end of the channel is open.
+        let _ = news.changed().await;
+        batch.faults.pause().await;
+    }
+}
+
+/// Writes frames as one piece.
+async fn send(sender: &mut BodySender, frames: &[Frame]) -> Result<(), StreamCut> {
+    let mut piece = Vec::new();
+    for frame in frames {
+        piece.extend_from_slice(b"data: ");
+        serde_json::to_writer(&mut piece, frame).map_err(|_| StreamCut)?;
+        piece.extend_from_slice(b"\n\n");
+    }
+    let sent = sender.send_data(Bytes::from(piece)).await;
+    sent.map_err(|_| StreamCut)
+}
+
+fn ok<T: Serialize>(value: &T) -> Response {
+    reply::json(StatusCode::OK, value)
+}
+
+fn refuse(refusal: &Refusal) -> Response {
+    let status = match refusal.kind {
+        RefusalKind::Busy => StatusCode::TOO_MANY_REQUESTS,
+        RefusalKind::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalKind::NoModel | RefusalKind::NoStream => StatusCode::NOT_FOUND,
+        RefusalKind::Fenced => StatusCode::CONFLICT,
+        RefusalKind::Invalid => StatusCode::BAD_REQUEST,
+    };
+    reply::json(status, refusal)
+}
+
+fn refusal(kind: RefusalKind, message: &str) -> Refusal {
+    Refusal {
+        kind,
+        message: message.to_owned(),
+    }
+}
+
+/// The number called `name` in a query, or 0.
+fn number(query: &str, name: &str) -> u64 {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/gooseberry-standin/src/platform/http.rs
@@ -0,0 +1,148 @@
+//! The HTTP interface of the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use platform::wire::{Host, Read, Scan, Transact};
+use serde::Serialize;
+use serde_json::Value;
+use tokio::time::sleep;
+use web::{Response, StreamCut, reply};
+
+use super::Platform;
+
+/// The largest request body, in bytes.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
+
+/// Answers one request.
+pub(super) async fn handle(platform: Arc<Platform>, request: Request<Incoming>) -> Response {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        "/faults" => return platform.faults.switch(request).await,
+        "/stats" => return reply::json(StatusCode::OK, &platform.lock().stats),
+        _ => platform.faults.hold().await,
+    }
+    if platform.faults.state().outage {
+        let message = "the platform is out of order; try again later";
+        return reply::json(StatusCode::SERVICE_UNAVAILABLE, &message);
+    }
+    let is_write = is_write(request.method(), &path);
+    if !platform.admit(is_write) {
+        let message = "too many calls a second; slow down";
+        return reply::json(StatusCode::TOO_MANY_REQUESTS, &message);
+    }
+    let settings = &platform.settings;
+    let ms = if is_write {
+        settings.write_ms
+    } else {
+        settings.read_ms
+    };
+    sleep(Duration::from_millis(ms)).await;
+    let response = carry_out(&platform, request, &path).await;
+    if is_write && platform.faults.takes_answer() {
+        return lost();
+    }
+    response
+}
+
+/// Whether a request counts as a write.
+fn is_write(method: &Method, path: &str) -> bool {
+    path == "/v1/table/transact" || method == Method::PUT || method == Method::DELETE
+}
+
+/// An answer that breaks off before its first byte of body.
+fn lost() -> Response {
+    let (sender, response) = reply::events();
+    sender.abort(StreamCut);
+    response
+}
+
+async fn carry_out(platform: &Platform, request: Request<Incoming>, path: &str) -> Response {
+    let method = request.method().clone();
+    if let Some(name) = path.strip_prefix("/v1/objects/") {
+        return object(platform, request, name).await;
+    }
+    if let Some(name) = path.strip_prefix("/v1/hosts/") {
+        platform.remove_host(name);
+        return ok(&());
+    }
+    if path.starts_with("/v1/weights/") {
+        return weights(platform).await;
+    }
+    match (method, path) {
+        (Method::GET, "/v1/hosts") => ok(&platform.hosts()),
+        (Method::POST, "/v1/hosts") => match reply::read_json::<Host>(request, MAX_BYTES).await {
+            Ok(host) => {
+                platform.put_host(host);
+                ok(&())
+            }
+            Err(e) => bad(&e),
+        },
+        (Method::POST, "/v1/table/transact") => {
+            match reply::read_json::<Transact>(request, MAX_BYTES).await {
+                Ok(body) => ok(&platform.lock().table.transact(&body.ops)),
+                Err(e) => bad(&e),
+            }
+        }
+        (Method::POST, "/v1/table/read") => {
+            match reply::read_json::<Read>(request, MAX_BYTES).await {
+                Ok(body) => {
+                    let kept = platform.lock();
+                    let rows: Vec<_> = body.keys.iter().map(|k| kept.table.read(k)).collect();
+                    ok(&rows)
+                }
+                Err(e) => bad(&e),
+            }
+        }
+        (Method::POST, "/v1/table/scan") => {
+            match reply::read_json::<Scan>(request, MAX_BYTES).await {
+                Ok(body) => ok(&platform.lock().table.scan(&body)),
+                Err(e) => bad(&e),
+            }
+        }
+        _ => reply::json(StatusCode::NOT_FOUND, &"no such path"),
+    }
+}
+
+async fn object(platform: &Platform, request: Request<Incoming>, name: &str) -> Response {
+    if request.method() == Method::GET {
+        let kept = platform.lock();
+        return ok(&kept.objects.get(&name.to_owned()));
+    }
+    if request.method() == Method::DELETE {
+        platform.lock().objects.remove(&name.to_owned());
+        return ok(&());
+    }
+    match reply::read_json::<Value>(request, MAX_BYTES).await {
+        Ok(value) => {
+            platform.lock().objects.insert(name.to_owned(), value);
+            ok(&())
+        }
+        Err(e) => bad(&e),
+    }
+}
+
+/// Answers a load of weights, or refuses it if too many run.
+async fn weights(platform: &Platform) -> Response {
+    {
+        let mut kept = platform.lock();
+        if kept.loads >= platform.settings.weight_loads {
+            let message = "too many weight loads at once; try again later";
+            return reply::json(StatusCode::TOO_MANY_REQUESTS, &message);
+        }
+        kept.loads += 1;
+    }
+    sleep(Duration::from_millis(platform.settings.weights_ms)).await;
+    platform.lock().loads -= 1;
+    ok(&())
+}
+
+fn ok<T: Serialize>(value: &T) -> Response {
+    reply::json(StatusCode::OK, value)
+}
+
+fn bad(error: &reply::BodyError) -> Response {
+    reply::json(StatusCode::BAD_REQUEST, &error.to_string())
+}
--- /dev/null
+++ b/crates/gooseberry-standin/src/service.rs
@@ -0,0 +1,168 @@
+//! The plain service stand-in: it counts how often each key was run.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::prelude::*;
+use base::sorted::Sorted;
+use engine::wire::Load;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use web::{Response, reply};
+
+use crate::faults::Faults;
+
+/// The largest request body, in bytes.
+const MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// The header that names a request.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The settings of a plain service stand-in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The time that one call takes, in milliseconds.
+    pub work_ms: u64,
+    /// The number of calls that it says it runs at once.
+    pub slots: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            work_ms: 5,
+            slots: 64,
+        }
+    }
+}
+
+/// How often a key was run; a list of these answers `GET /runs`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Runs {
+    /// The key.
+    pub key: String,
+    /// How often its call ran.
+    pub count: u64,
+}
+
+/// The body of each answer of the service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The key of the call, as the service saw it.
+    pub key: String,
+    /// The number of the run over all keys.
+    pub run: u64,
+    /// The path of the call.
+    pub path: String,
+    /// The body of the call.
+    pub body: String,
+}
+
+/// A plain service.
+struct Service {
+    settings: Settings,
+    faults: Faults,
+    incarnation: Incarnation,
+    runs: Mutex<Sorted<String, u64>>,
+    total: Mutex<u64>,
+    running: Mutex<u64>,
+}
+
+/// Runs a plain service on `listener` until `stop` is cancelled.
+pub async fn run(listener: TcpListener, settings: Settings, stop: CancellationToken) {
+    let service = Arc::new(Service {
+        settings,
+        faults: Faults::default(),
+        incarnation: Incarnation(rand::random()),
+        runs: Mutex::default(),
+        total: Mutex::default(),
+        running: Mutex::default(),
+    });
+    let handler = move |request| handle(service.clone(), request);
+    web::server::serve(listener, stop, handler).await;
+}
+
+async fn handle(service: Arc<Service>, request: Request<Incoming>) -> Response {
+    match (request.method(), request.uri().path()) {
+        (_, "/faults") => return service.faults.switch(request).await,
+        (&Method::GET, "/runs") => return reply::json(StatusCode::OK, &service.list()),
+        (&Method::GET, "/v1/load") => return reply::json(StatusCode::OK, &service.load()),
+        _ => {}
+    }
+    if service.faults.state().leaving {
+        let message = "the server is leaving; nothing was run";
+        return reply::json(StatusCode::SERVICE_UNAVAILABLE, &message);
+    }
+    work(&service, request).await
+}
+
+/// Runs one call.
+async fn work(service: &Service, request: Request<Incoming>) -> Response {
+    let path = request.uri().path().to_owned();
+    let key = request.headers().get(KEY_HEADER);
+    let key = key
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let body = match reply::read_bytes(request.into_body(), MAX_BYTES).await {
+        Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+        Err(e) => return reply::json(StatusCode::BAD_REQUEST, &e.to_string()),
+    };
+    let run = service.count(&key);
+    change(&service.running, 1);
+    sleep(Duration::from_millis(service.settings.work_ms)).await;
+    service.faults.count_call();
+    service.faults.hold().await;
+    change(&service.running, -1);
+    let receipt = Receipt {
+        key,
+        run,
+        path,
+        body,
+    };
+    reply::json(StatusCode::OK, &receipt)
+}
+
+impl Service {
+    /// Counts a run of `key` and returns its number over all keys.
+    fn count(&self, key: &str) -> u64 {
+        let mut runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
+        *runs.entry(key.to_owned(), || 0) += 1;
+        let mut total = self.total.lock().unwrap_or_else(|e| e.into_inner());
+        *total += 1;
+        *total
+    }
+
+    fn list(&self) -> Vec<Runs> {
+        let runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
+        let one = |(key, count): (&String, &u64)| Runs {
+            key: key.clone(),
+            count: *count,
+        };
+        runs.iter().map(one).collect()
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            incarnation: self.incarnation,
+            running: *self.running.lock().unwrap_or_else(|e| e.into_inner()),
+            slots: self.settings.slots,
+            leaving: self.faults.state().leaving,
+            ..Load::default()
+        }
+    }
+}
+
+fn change(count: &Mutex<u64>, by: i64) {
+    let mut count = count.lock().unwrap_or_else(|e| e.into_inner());
+    *count = count.saturating_add_signed(by);
+}
--- /dev/null
+++ b/crates/gooseberryctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `gooseberryctl`: the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which hosts and backend servers are alive, leaving or dead.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases and fencing numbers for orders to engines.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,8 @@
+//! The protocol between the system's own processes, by `tarpc` over TCP with MessagePack.
+//!
+//! This is the only crate that knows how messages travel between hosts.
+
+pub mod agent;
+pub mod link;
+pub mod router;
+pub mod serve;
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,212 @@
+//! A connection to a peer that is opened again when it fails.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base::prelude::*;
+use journal::record::{Append, Refusal};
+use tarpc::client::RpcError;
+use tarpc::context::{self, Context};
+use thiserror::Error;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::agent::{AgentPeerClient, View};
+use crate::router::{RouterPeerClient, Sealed};
+
+/// The largest message between processes, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// The longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time beyond which the transport itself gives up a call that the caller has already given up.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// Why a peer gave no answer.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// No connection could be made; the call was not sent.
+    #[error("no connection to peer {addr}: {cause}; check that the process runs there")]
+    Connect {
+        /// The address.
+        addr: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+    /// The call was sent and not answered.
+    #[error("peer {addr} gave no answer: {cause}; the call may have been received")]
+    Lost {
+        /// The address.
+        addr: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+}
+
+/// The framing of messages on both sides.
+pub(crate) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_codec()
+}
+
+/// Declares a link for the client of one service.
+macro_rules! link {
+    ($(#[$doc:meta])* $name:ident, $client:ident) => {
+        $(#[$doc])*
+        pub struct $name {
+            addr: SocketAddr,
+            client: Mutex<Option<$client>>,
+        }
+
+        impl $name {
+            /// A link that connects on its first call.
+            pub fn new(addr: SocketAddr) -> Self {
+                Self {
+                    addr,
+                    client: Mutex::new(None),
+                }
+            }
+
+            /// The address of the peer.
+            pub fn addr(&self) -> SocketAddr {
+                self.addr
+            }
+
+            /// The client over the open connection, or over a new one.
+            async fn client(&self) -> Result<$client, LinkError> {
+                let mut slot = self.client.lock().await;
+                if let Some(client) = slot.as_ref() {
+                    return Ok(client.clone());
+                }
+                let addr = self.addr;
+                let refused = |cause: String| LinkError::Connect { addr, cause };
+                let mut connecting =
+                    tarpc::serde_transport::tcp::connect(addr, tokio_serde::formats::MessagePack::default);
+                connecting.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+                let transport = timeout(CONNECT_LIMIT, connecting)
+                    .await
+                    .map_err(|e| refused(e.to_string()))?
+                    .map_err(|e| refused(e.to_string()))?;
+                let client = $client::new(tarpc::client::Config::default(), transport).spawn();
+                *slot = Some(client.clone());
+                Ok(client)
+            }
+
+            /// Closes the connection, so that the next call opens a new one.
+            async fn reset(&self) {
+                *self.client.lock().await = None;
+            }
+
+            /// Makes one call within `limit`; the connection is given up if it is not answered.
+            async fn call<T, F>(
+                &self,
+                limit: Duration,
+                run: impl FnOnce($client, Context) -> F,
+            ) -> Result<T, LinkError>
+            where
+                F: Future<Output = Result<T, RpcError>>,
+            {
+                let addr = self.addr;
+                let lost = |cause: String| LinkError::Lost { addr, cause };
+                let client = self.client().await?;
+                let mut context = context::current();
+                context.deadline = Instant::now() + limit + GRACE;
+                let answer = match timeout(limit, run(client, context)).await {
+                    Ok(Ok(answer)) => return Ok(answer),
+                    Ok(Err(e)) => lost(e.to_string()),
+                    Err(e) => lost(e.to_string()),
+                };
+                self.reset().await;
+                Err(answer)
+            }
+        }
+    };
+}
+
+link!(
+    /// A link to a router.
+    RouterLink,
+    RouterPeerClient
+);
+link!(
+    /// A link to an agent.
+    AgentLink,
+    AgentPeerClient
+);
+
+impl RouterLink {
+    /// Adds tokens to journals at the peer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn append(
+        &self,
+        batch: Vec<Append>,
+        limit: Duration,
+    ) -> Result<Vec<Result<Offset, Refusal>>, LinkError> {
+        self.call(limit, |c, ctx| async move { c.append(ctx, batch).await })
+            .await
+    }
+
+    /// Seals a journal at the peer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn seal(
+        &self,
+        key: &RequestKey,
+        epoch: Epoch,
+        digest: u64,
+        limit: Duration,
+    ) -> Result<Result<Sealed, Refusal>, LinkError> {
+        let key = key.clone();
+        self.call(limit, |c, ctx| async move {
+            c.seal(ctx, key, epoch, digest).await
+        })
+        .await
+    }
+
+    /// Tells the peer that the caller has the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn close(
+        &self,
+        key: &RequestKey,
+        epoch: Epoch,
+        limit: Duration,
+    ) -> Result<(), LinkError> {
+        let key = key.clone();
+        self.call(
+            limit,
+            |c, ctx| async move { c.close(ctx, key, epoch).await },
+        )
+        .await
+    }
+}
+
+impl AgentLink {
+    /// Reads the view of an agent.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn view(
+        &self,
+        revision: u64,
+        version: Version,
+        wait: Millis,
+        limit: Duration,
+    ) -> Result<View, LinkError> {
+        self.call(limit, |c, ctx| async move {
+            c.view(ctx, revision, version, wait.0).await
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,94 @@
+//! A client of the platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+use web::client::{CallError, call, get};
+
+use crate::wire::{Host, HostList, Outcome, Read, Row, Scan, Transact};
+
+/// Where the platform is and how long to wait for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Platform {
+    /// The address of the platform.
+    pub addr: SocketAddr,
+    /// The time limit of one call.
+    pub limit: Duration,
+}
+
+impl Platform {
+    /// Runs a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`]; unless [`CallError::is_unsent`] holds, the transaction may have taken
+    /// effect.
+    pub async fn transact(&self, body: &Transact) -> Result<Outcome, CallError> {
+        self.post("/v1/table/transact", body).await
+    }
+
+    /// Reads rows by key.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn read(&self, keys: Vec<String>) -> Result<Vec<Option<Row>>, CallError> {
+        self.post("/v1/table/read", &Read { keys }).await
+    }
+
+    /// Reads rows by prefix of their keys.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn scan(&self, body: &Scan) -> Result<Vec<Row>, CallError> {
+        self.post("/v1/table/scan", body).await
+    }
+
+    /// Stores an object.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`]; unless [`CallError::is_unsent`] holds, it may have been stored.
+    pub async fn put_object(&self, name: &str, value: &Value) -> Result<(), CallError> {
+        let path = format!("/v1/objects/{name}");
+        call(self.addr, Method::PUT, &path, value, self.limit).await
+    }
+
+    /// Reads an object; `None` if there is none of that name.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn object(&self, name: &str) -> Result<Option<Value>, CallError> {
+        get(self.addr, &format!("/v1/objects/{name}"), self.limit).await
+    }
+
+    /// Reads the host list.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn hosts(&self) -> Result<HostList, CallError> {
+        get(self.addr, "/v1/hosts", self.limit).await
+    }
+
+    /// Puts an entry of the host list.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn put_host(&self, host: &Host) -> Result<(), CallError> {
+        self.post("/v1/hosts", host).await
+    }
+
+    async fn post<Q: serde::Serialize, A: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &Q,
+    ) -> Result<A, CallError> {
+        call(self.addr, Method::POST, path, body, self.limit).await
+    }
+}
--- /dev/null
+++ b/crates/profiles/src/lib.rs
@@ -0,0 +1,7 @@
+//! The configuration: its documents, their checks and their versions.
+//!
+//! Pure: documents and changes come in, new documents, conflicts and errors go out. The crate knows
+//! nothing of where documents are kept or how they travel.
+
+pub mod check;
+pub mod document;
--- /dev/null
+++ b/crates/service/src/lib.rs
@@ -0,0 +1,1 @@
+//! The adapter to plain services.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,6 @@
+//! Logs, metrics and the operators' view of a process.
+
+pub mod admin;
+pub mod logs;
+pub mod metrics;
+pub mod signals;
