--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -8,7 +8,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,20 +32,22 @@
         };
         // A failed accept concerns one connection only; the listener remains usable.
         let Ok((stream, _)) = accepted else { continue };
+        // Without this, small frames wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
         tasks.spawn(connection(stream, stop.clone(), handler.clone()));
     }
     tasks.close();
     tasks.wait().await;
 }
 
-/// Serves one connection.
-async fn connection<F, R>(stream: TcpStream, stop: CancellationToken, handler: F)
+/// Serves one connection until its peer closes it, or until `stop` is cancelled and the request in
+/// flight has ended.
+pub async fn connection<S, F, R>(stream: S, stop: CancellationToken, handler: F)
 where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = Response> + Send + 'static,
 {
-    // Without this, small frames wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
