--- a/crates/gooseberry-bench/src/demo.rs
+++ b/crates/gooseberry-bench/src/demo.rs
@@ -17,7 +17,7 @@
 use crate::harness::{BenchError, build};
 
 /// The bearer key of the demo's workspace.
-const BEARER: &str = "demo-key";
+pub(crate) const BEARER: &str = "demo-key";
 
 /// The time from the first request to the kill.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
@@ -87,7 +87,7 @@
 }
 
 /// Two entry hosts and three engines in one data centre.
-fn plan() -> Plan {
+pub(crate) fn plan() -> Plan {
     let here = DataCentre::from("vn-south-a");
     Plan {
         hosts: vec![here.clone(); 2],
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 #[expect(dead_code, reason = "the fault experiments use what the demo does not")]
 mod harness;
+mod up;
 
 use std::process::ExitCode;
 
@@ -15,12 +16,16 @@
     /// Kill an engine in the middle of generations and show that every answer is whole.
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::options))] demo::Options),
+    /// Keep the demo's deployment running and print its addresses.
+    #[bpaf(command)]
+    Up(#[bpaf(external(up::options))] up::Options),
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let ran = match command().run() {
         Command::Demo(options) => demo::run(options).await,
+        Command::Up(options) => up::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
