balance: choose a server by load, prefix cache, health and place

Cause: the choice took the least loaded server as last reported, so that many routers took the same one between two reports, a prefix was computed on every engine, and a server that failed fast looked idle.

Ruled out: the least loaded server with a random tie break (herds when the reports lag); a share of the load by consistent hashing alone (no view of load at all).

Change: leave out, in this order and only while another server is left, those avoided, ejected for failures, slow, just returned, at their cap of resumes, full, and in a less preferred data centre. Then a server with the prefix, by cache events or, where these are lost, by rendezvous hashing of the first blocks, so that all routers agree; else the less loaded of two at random.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,5 +4,9 @@
 //! load reports and cache events arrive.
 
 pub mod choice;
+pub mod health;
+pub mod rule;
 
 pub use choice::{Ask, Server, choose};
+pub use health::Health;
+pub use rule::Rule;
--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -32,7 +32,7 @@
     let backends: Vec<Value> = snapshot
         .backends
         .iter()
-        .map(|b| json!({ "seen": b.seen, "own": b.own() }))
+        .map(|b| json!({ "seen": b.seen, "own": b.own(), "health": b.health() }))
         .collect();
     json!({
         "host": router.settings.host,
--- a/crates/gooseberry-router/src/backends.rs
+++ b/crates/gooseberry-router/src/backends.rs
@@ -1,33 +1,106 @@
 //! The backend servers as the request path sees them.
 
+mod outcome;
+
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 
-use balance::{Ask, Server, choose};
+use balance::{Ask, Health, Server, choose};
 use base::prelude::*;
 use peer::agent::BackendView;
+use profiles::document::Profile;
+
+use crate::context::Router;
+use outcome::Outcome;
+
+/// The most resumed requests that this router gives one server before it has continued them.
+const MAX_RESUMES: u64 = 8;
+
+/// The blocks of a prompt that decide on its home when no cache event tells of any.
+const PREFIX_BLOCKS: usize = 8;
 
-use crate::config::Snapshot;
+/// The most counts of the past that are kept for each server.
+const MAX_PAST: usize = 16;
 
 /// A backend server and what this router has running there.
 #[derive(Clone, Debug)]
 pub struct Backend {
     /// What the agent tells of it.
     pub seen: BackendView,
-    own: Arc<AtomicU64>,
+    /// When it was told.
+    heard: Millis,
+    /// The requests that this router had running there when the agent's news came, oldest first.
+    past: Vec<(Millis, u64)>,
+    outcome: Arc<Outcome>,
 }
 
 impl Backend {
-    /// A backend server with the count of its predecessor among `held`.
-    pub fn adopt(seen: BackendView, held: &[Arc<Backend>]) -> Self {
+    /// A backend server with the counts of its predecessor among `held`.
+    pub fn adopt(now: Millis, seen: BackendView, held: &[Arc<Backend>]) -> Self {
         let old = held.iter().find(|b| b.seen.backend == seen.backend);
-        let own = old.map(|b| b.own.clone()).unwrap_or_default();
-        Self { seen, own }
+        let outcome = old.map(|b| b.outcome.clone()).unwrap_or_default();
+        let is_back = match old {
+            Some(old) => !old.seen.alive || old.seen.incarnation != seen.incarnation,
+            None => !held.is_empty(),
+        };
+        if is_back && seen.alive {
+            outcome.change(|h| h.came_back(now));
+        }
+        let mut past = old.map(|b| b.past.clone()).unwrap_or_default();
+        if past.len() >= MAX_PAST {
+            past.remove(0);
+        }
+        past.push((now, outcome.own()));
+        Self {
+            seen,
+            heard: now,
+            past,
+            outcome,
+        }
     }
 
     /// The requests that this router has running there.
     pub fn own(&self) -> u64 {
-        self.own.load(Ordering::Relaxed)
+        self.outcome.own()
+    }
+
+    /// What the outcomes of its requests tell of it.
+    pub fn health(&self) -> Health {
+        self.outcome.health()
+    }
+
+    /// The age of the load report.
+    fn age(&self, now: Millis) -> Millis {
+        Millis(self.seen.age_ms) + now.since(self.heard)
+    }
+
+    /// The requests of this router that the load report cannot have counted.
+    fn since(&self, now: Millis) -> u64 {
+        let taken = now - self.age(now);
+        let counted = self.past.iter().rev().find(|(at, _)| *at <= taken);
+        let oldest = self.past.first();
+        let counted = counted.or(oldest).map_or(0, |(_, own)| *own);
+        self.own().saturating_sub(counted)
+    }
+
+    /// What the choice needs to know.
+    fn server(&self, now: Millis, near: &DataCentre, want: &Want<'_>) -> Server<'_> {
+        let health = self.health();
+        Server {
+            backend: self.seen.backend.as_str(),
+            is_usable: want.model.is_none_or(|m| self.seen.models.contains(m)),
+            rank: rank(&self.seen.data_centre, near, &want.profile.spill),
+            own: self.own(),
+            since: self.since(now),
+            reported: self.seen.running + self.seen.queued,
+            age: self.age(now),
+            slots: self.seen.slots,
+            cached: held_blocks(&self.seen.blocks, want.blocks),
+            is_ejected: health.is_ejected(now),
+            ramp: health.ramp(now),
+            latency: health.latency(now),
+            resumes: self.outcome.resumes(),
+        }
     }
 }
 
@@ -36,19 +109,56 @@
 pub struct Placed {
     /// The backend server.
     pub backend: Arc<Backend>,
+    /// When it was placed.
+    at: Millis,
+    /// Whether it is a resumed one that has not gone on yet.
+    is_resume: bool,
+    /// Whether its first token has come.
+    has_token: bool,
 }
 
 impl Placed {
     /// Counts a request at `backend`.
-    pub fn new(backend: Arc<Backend>) -> Self {
-        backend.own.fetch_add(1, Ordering::Relaxed);
-        Self { backend }
+    pub fn new(backend: Arc<Backend>, now: Millis, is_resume: bool) -> Self {
+        backend.outcome.enter(is_resume);
+        Self {
+            backend,
+            at: now,
+            is_resume,
+            has_token: false,
+        }
+    }
+
+    /// A token came.
+    pub fn first_token(&mut self, now: Millis) {
+        if self.has_token {
+            return;
+        }
+        self.has_token = true;
+        self.end_resume();
+        let took = now.since(self.at);
+        self.backend.outcome.change(|h| h.first_token(now, took));
+    }
+
+    /// The request failed there; only failures before the first token tell of the server.
+    pub fn failed(&mut self, now: Millis) {
+        if !self.has_token {
+            self.backend.outcome.change(|h| h.failed(now));
+        }
+    }
+
+    fn end_resume(&mut self) {
+        if self.is_resume {
+            self.is_resume = false;
+            self.backend.outcome.end_resume();
+        }
     }
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
-        self.backend.own.fetch_sub(1, Ordering::Relaxed);
+        self.end_resume();
+        self.backend.outcome.leave();
     }
 }
 
@@ -61,49 +171,70 @@
     NoModel,
 }
 
-/// Places one request of `service`.
+/// What a request needs of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The profile.
+    pub profile: &'a Profile,
+    /// The model, if the service has any.
+    pub model: Option<&'a Model>,
+    /// The hashes of the prompt's blocks.
+    pub blocks: &'a [u64],
+    /// Servers that are taken only if there is no other.
+    pub avoid: &'a [BackendId],
+    /// Whether output so far is to be continued.
+    pub is_resume: bool,
+}
+
+/// Places one request.
 ///
 /// # Errors
 ///
 /// [`NoBackend`] if no server can be used.
-pub fn place(
-    snapshot: &Snapshot,
-    near: &DataCentre,
-    service: &ServiceName,
-    model: Option<&Model>,
-    blocks: &[u64],
-    avoid: &[BackendId],
-) -> Result<Placed, NoBackend> {
+pub fn place(router: &Router, want: &Want<'_>) -> Result<Placed, NoBackend> {
+    let snapshot = router.snapshot();
+    let now = router.timer.now();
+    let near = &router.settings.data_centre;
     let live: Vec<&Arc<Backend>> = snapshot
         .backends
         .iter()
-        .filter(|b| b.seen.service == *service && b.seen.alive && !b.seen.leaving)
-        .collect();
-    let servers: Vec<Server<'_>> = live
-        .iter()
-        .map(|b| Server {
-            backend: &b.seen.backend,
-            is_usable: model.is_none_or(|m| b.seen.models.contains(m)),
-            is_near: b.seen.data_centre == *near,
-            own: b.own(),
-            reported: b.seen.running + b.seen.queued,
-            slots: b.seen.slots,
-            cached: held_blocks(&b.seen.blocks, blocks),
-        })
+        .filter(|b| b.seen.service == *want.service && b.seen.alive && !b.seen.leaving)
         .collect();
+    let servers: Vec<Server<'_>> = live.iter().map(|b| b.server(now, near, want)).collect();
+    let routers = snapshot.hosts.iter().filter(|h| h.alive).count() as u64;
+    let prefix = PREFIX_BLOCKS.min(want.blocks.len()).checked_sub(1);
     let ask = Ask {
-        avoid,
+        avoid: want.avoid,
         spread: rand::random(),
+        routers,
+        prefix: prefix.map(|i| want.blocks[i]),
+        blocks: want.blocks.len() as u64,
+        resumes: want.is_resume.then_some(MAX_RESUMES),
+        rule: want.profile.choice,
+        turn: router.turn.fetch_add(1, Ordering::Relaxed),
     };
     match choose(&servers, &ask) {
-        Some(i) => Ok(Placed::new(live[i].clone())),
+        Some(i) => Ok(Placed::new(live[i].clone(), now, want.is_resume)),
         None if live.is_empty() => Err(NoBackend::None),
         None => Err(NoBackend::NoModel),
     }
 }
 
-/// How many of `blocks`, from the first on, are in the sorted list `held`.
+/// The place of a data centre in the order of preference; 0 is the router's own.
+fn rank(place: &DataCentre, near: &DataCentre, spill: &[DataCentre]) -> usize {
+    if place == near {
+        return 0;
+    }
+    let named = spill.iter().position(|d| d == place);
+    named.unwrap_or(spill.len()) + 1
+}
+
+/// How many of `blocks` are in the sorted list `held`, up to the last one found.
+///
+/// Each hash covers the blocks before it, so that a block whose event was lost is still counted.
 fn held_blocks(held: &[u64], blocks: &[u64]) -> u64 {
-    let is_held = |b: &&u64| held.binary_search(b).is_ok();
-    blocks.iter().take_while(is_held).count() as u64
+    let last = blocks.iter().rposition(|b| held.binary_search(b).is_ok());
+    last.map_or(0, |i| i as u64 + 1)
 }
--- a/crates/gooseberry-router/src/config.rs
+++ b/crates/gooseberry-router/src/config.rs
@@ -77,6 +77,7 @@
 /// Puts a view into force; a document of a lower version is never taken.
 fn adopt(router: &Router, view: View) {
     let held = router.snapshot();
+    let now = router.timer.now();
     let document = match view.document {
         Some(document) if document.version > held.document.version => {
             log::info!(
@@ -91,7 +92,7 @@
     let backends = view
         .backends
         .into_iter()
-        .map(|seen| Arc::new(Backend::adopt(seen, &held.backends)))
+        .map(|seen| Arc::new(Backend::adopt(now, seen, &held.backends)))
         .collect();
     router.swap(Snapshot {
         document,
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -1,6 +1,7 @@
 //! What the parts of a router share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use arc_swap::ArcSwap;
 use base::prelude::*;
@@ -33,6 +34,8 @@
     pub metrics: cadence::StatsdClient,
     /// Cancelled when the host takes no new work.
     pub drain: CancellationToken,
+    /// The number of backend servers chosen so far.
+    pub turn: AtomicU64,
     snapshot: ArcSwap<Snapshot>,
 }
 
@@ -48,6 +51,7 @@
             registry: Registry::default(),
             metrics,
             drain: CancellationToken::new(),
+            turn: AtomicU64::new(0),
             snapshot: ArcSwap::default(),
         }
     }
--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -213,6 +213,7 @@
         if !self.attempts.is_current(news.attempt, news.connection) {
             return;
         }
+        self.attempts.observe(self.router.timer.now(), &news);
         if let Some(incarnation) = news.incarnation {
             self.attempts.identify(news.attempt, incarnation);
         }
--- a/crates/gooseberry-router/src/drive/attempts.rs
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Driver;
-use crate::backends::{NoBackend, Placed, place};
+use crate::backends::{NoBackend, Placed, Want, place};
 use crate::context::Router;
 use crate::stream::{Connection, News, cancel};
 
@@ -68,7 +68,7 @@
             connection: 0,
             stop: CancellationToken::new(),
             is_over: false,
-            place: found.map(|b| Placed::new(b.clone())),
+            place: found.map(|b| Placed::new(b.clone(), router.timer.now(), false)),
         });
     }
 
@@ -78,6 +78,26 @@
         self.streams.iter().any(counts)
     }
 
+    /// Takes note of what news of an attempt tells of its backend server.
+    pub(super) fn observe(&mut self, now: Millis, news: &News) {
+        let place = self.find(news.attempt).and_then(|s| s.place.as_mut());
+        let Some(place) = place else {
+            return;
+        };
+        match &news.event {
+            Event::Token { .. } => place.first_token(now),
+            Event::OpenFailed { cause, .. } => match cause {
+                OpenError::Unreachable | OpenError::Busy => place.failed(now),
+                OpenError::NoBackend
+                | OpenError::ModelGone
+                | OpenError::Invalid
+                | OpenError::NoStream => {}
+            },
+            Event::Broken { .. } => place.failed(now),
+            _ => {}
+        }
+    }
+
     /// Notes the life of the engine that runs an attempt.
     pub(super) fn identify(&mut self, attempt: Attempt, incarnation: Incarnation) {
         if let Some(stream) = self.find(attempt) {
@@ -178,16 +198,16 @@
     /// Chooses a backend server and starts a stream there.
     pub(super) fn open(&mut self, attempt: Attempt, avoid: &[Attempt]) {
         let avoid = self.attempts.backends(avoid);
-        let snapshot = self.router.snapshot();
         let blocks = prompt_blocks(&self.job.prompt);
-        let placed = place(
-            &snapshot,
-            &self.router.settings.data_centre,
-            &self.job.service,
-            Some(&self.job.model),
-            &blocks,
-            &avoid,
-        );
+        let want = Want {
+            service: &self.job.service,
+            profile: &self.job.profile,
+            model: Some(&self.job.model),
+            blocks: &blocks,
+            avoid: &avoid,
+            is_resume: !self.generation.tokens().is_empty(),
+        };
+        let placed = place(&self.router, &want);
         match placed {
             Ok(placed) => self.open_at(attempt, placed),
             Err(why) => {
--- a/crates/profiles/src/document.rs
+++ b/crates/profiles/src/document.rs
@@ -1,5 +1,6 @@
 //! The shape of the configuration.
 
+use balance::Rule;
 use base::prelude::*;
 use generation::Policy as Resume;
 use journal::replica::Policy as Witness;
@@ -45,6 +46,13 @@
     /// The limits of the class.
     #[serde(default)]
     pub limits: Limits,
+    /// The data centres to which work goes when the router's own is full, in order; those not named
+    /// come last.
+    #[serde(default)]
+    pub spill: Vec<DataCentre>,
+    /// How a backend server is chosen; all but the default are baselines for measurements only.
+    #[serde(default)]
+    pub choice: Rule,
     /// How calls that may repeat are retried.
     #[serde(default)]
     pub retry: Retry,
