admission: limits, fair queue by workspace, deadlines and a retry budget

Cause: a router started every request at once, so that a greedy workspace or a burst filled the engines' queues and every caller came late.

Ruled out: a token bucket for each workspace (wastes places when others are idle); places divided by workspace (with few places a router and ten workspaces a part is less than one); fairness by requests in flight (a long draft would count as a short one).

Change: a gate of pure decisions. Free places go to the workspace that is due in virtual time (start-time fair queueing by share, with the tokens asked for as cost). A request that cannot start before its deadline less the time to the first token is refused at once with a time to come back, when it arrives or as soon as that is known. A router's part of a limit is the limit over the live routers of its data centre; the parts add up to the limit, and a split in n groups lets through at most n times it. Retries are bounded to a part of first tries.

--- /dev/null
+++ b/crates/admission/tests/fair_queue.rs
@@ -0,0 +1,238 @@
+//! Scripted arrivals and ends at one router, see `scenarios/queue.txt`, and properties of limits.
+
+use admission::{Action, Ask, Budget, ClassBounds, Gate, SpaceBounds, share};
+use base::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+/// A request that runs.
+struct Running {
+    ticket: u64,
+    profile: ProfileName,
+    workspace: WorkspaceName,
+    started: Millis,
+}
+
+#[derive(Default)]
+struct World {
+    gate: Gate,
+    now: Millis,
+    asked: Vec<(u64, ProfileName, WorkspaceName)>,
+    running: Vec<Running>,
+    budget: Budget,
+}
+
+impl World {
+    fn carry_out(&mut self, actions: Vec<Action>) -> String {
+        let mut text = String::new();
+        for action in actions {
+            match action {
+                Action::Start(ticket) => {
+                    let (_, profile, workspace) = self
+                        .asked
+                        .iter()
+                        .find(|a| a.0 == ticket)
+                        .expect("asked")
+                        .clone();
+                    text += &format!("{ticket} {workspace} starts\n");
+                    self.running.push(Running {
+                        ticket,
+                        profile,
+                        workspace,
+                        started: self.now,
+                    });
+                }
+                Action::Refuse {
+                    ticket,
+                    reason,
+                    after,
+                } => text += &format!("{ticket} not run: {reason}, after {after}\n"),
+            }
+        }
+        text
+    }
+
+    fn end(&mut self, i: usize) -> String {
+        let one = self.running.remove(i);
+        let mut out = Vec::new();
+        let held = self.now.since(one.started);
+        self.gate
+            .done(self.now, &one.profile, &one.workspace, held, &mut out);
+        format!("{} ends\n{}", one.ticket, self.carry_out(out))
+    }
+}
+
+#[test]
+fn fair_queue() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut world = World::default();
+        file.run(|case| {
+            let text = |name: &str, or: &str| {
+                let value = case.args.get(name).and_then(|v| v.first());
+                value.cloned().unwrap_or_else(|| or.to_owned())
+            };
+            let number = |name: &str, or: u64| text(name, &or.to_string()).parse().expect(name);
+            match case.directive.as_str() {
+                "reset" => {
+                    world = World::default();
+                    String::new()
+                }
+                "profile" => {
+                    let bounds = ClassBounds {
+                        capacity: number("capacity", 1),
+                        queued: number("queued", 100),
+                        priority: number("priority", 0) as u32,
+                        first: Millis(number("first", 0)),
+                    };
+                    world
+                        .gate
+                        .set_class(&ProfileName(text("name", "p")), bounds);
+                    String::new()
+                }
+                "workspace" => {
+                    let bounds = SpaceBounds {
+                        share: number("share", 1) as u32,
+                        limit: number("limit", 0),
+                    };
+                    world
+                        .gate
+                        .set_space(&WorkspaceName(text("name", "w")), bounds);
+                    String::new()
+                }
+                "ask" => {
+                    let mut shown = String::new();
+                    for _ in 0..number("count", 1) {
+                        let ticket = world.asked.len() as u64 + 1;
+                        let profile = ProfileName(text("profile", "p"));
+                        let workspace = WorkspaceName(text("name", "w"));
+                        let ask = Ask {
+                            ticket,
+                            profile: &profile,
+                            workspace: &workspace,
+                            cost: number("cost", 1),
+                            deadline: world.now + Millis(number("within", 10_000)),
+                            is_admitted: case.args.contains_key("admitted"),
+                        };
+                        let mut out = Vec::new();
+                        world.gate.ask(world.now, &ask, &mut out);
+                        world
+                            .asked
+                            .push((ticket, profile.clone(), workspace.clone()));
+                        shown += &world.carry_out(out);
+                    }
+                    shown
+                }
+                "end" => (0..number("count", 1)).map(|_| world.end(0)).collect(),
+                "leave" => {
+                    world.gate.give_up(number("ticket", 0));
+                    String::new()
+                }
+                "pass" => {
+                    world.now = world.now + Millis(number("ms", 0));
+                    let mut out = Vec::new();
+                    world.gate.tick(world.now, &mut out);
+                    world.carry_out(out)
+                }
+                "retries" => {
+                    let percent = number("percent", 10) as u32;
+                    (0..number("first", 0)).for_each(|_| world.budget.earn(percent));
+                    let wanted = number("wanted", 0);
+                    let given = (0..wanted).filter(|_| world.budget.spend()).count();
+                    format!("{given} of {wanted}\n")
+                }
+                other => panic!("unknown directive {other}"),
+            }
+        });
+    });
+}
+
+/// One step of a random run: what happens, to which workspace, and after how long.
+type Step = (u8, u8, u64);
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        cases: 128,
+        ..Config::default()
+    })]
+
+    /// The parts of a limit add up to it, and a split in groups lets through no more than the limit
+    /// for each group.
+    #[test]
+    fn limit_parts(limit in 1_u64..5_000, groups in proptest::collection::vec(1_u64..40, 1..4)) {
+        let part = |live: u64| (0..live).map(|rank| share(limit, rank, live)).sum::<u64>();
+        for live in &groups {
+            prop_assert_eq!(part(*live), limit.max(*live));
+        }
+        let split: u64 = groups.iter().map(|live| part(*live)).sum();
+        let routers: u64 = groups.iter().sum();
+        prop_assert!(split <= groups.len() as u64 * limit.max(routers));
+    }
+
+    /// Whatever happens: limits hold, each request gets one answer, and none starts once refused.
+    #[test]
+    fn one_answer(steps in proptest::collection::vec((0_u8..4, 0_u8..4, 0_u64..400), 1..120)) {
+        let (capacity, limit) = (3, 2);
+        let profile = ProfileName::from("p");
+        let mut gate = Gate::default();
+        let bounds = ClassBounds { capacity, queued: 6, priority: 0, first: Millis(50) };
+        gate.set_class(&profile, bounds);
+        let names: Vec<WorkspaceName> = (0..4).map(|i| WorkspaceName(format!("w{i}"))).collect();
+        for (i, name) in names.iter().enumerate() {
+            gate.set_space(name, SpaceBounds { share: i as u32 + 1, limit });
+        }
+        let mut now = Millis(0);
+        let mut asks: Vec<(Millis, usize)> = Vec::new();
+        let mut answered: Vec<u64> = Vec::new();
+        let mut running: Vec<(u64, Millis)> = Vec::new();
+        let end: Vec<Step> = vec![(3, 0, 10_000)];
+        for (what, which, ms) in steps.into_iter().chain(end) {
+            now = now + Millis(ms);
+            let mut out = Vec::new();
+            match what {
+                0 | 1 => {
+                    let ticket = asks.len() as u64;
+                    asks.push((now + Millis(500), usize::from(which)));
+                    let ask = Ask {
+                        ticket,
+                        profile: &profile,
+                        workspace: &names[usize::from(which)],
+                        cost: ms,
+                        deadline: now + Millis(500),
+                        is_admitted: false,
+                    };
+                    gate.ask(now, &ask, &mut out);
+                }
+                2 if !running.is_empty() => {
+                    let (ticket, at) = running.remove(usize::from(which) % running.len());
+                    let name = &names[asks[ticket as usize].1];
+                    gate.done(now, &profile, name, now.since(at), &mut out);
+                }
+                _ => gate.tick(now, &mut out),
+            }
+            for action in out {
+                let ticket = match action {
+                    Action::Start(ticket) => {
+                        prop_assert!(asks[ticket as usize].0 > now + Millis(50), "started late");
+                        running.push((ticket, now));
+                        ticket
+                    }
+                    Action::Refuse { ticket, after, .. } => {
+                        prop_assert!(after > Millis(0));
+                        ticket
+                    }
+                };
+                prop_assert!(!answered.contains(&ticket), "two answers");
+                answered.push(ticket);
+            }
+            prop_assert!(running.len() as u64 <= capacity);
+            for space in 0..names.len() {
+                let count = running.iter().filter(|(t, _)| asks[*t as usize].1 == space).count();
+                prop_assert!(count as u64 <= limit);
+            }
+        }
+        prop_assert_eq!(answered.len(), asks.len());
+        prop_assert!(!gate.is_waiting());
+    }
+}
