router: admit requests before they run, spill prefixes in one order

Cause: the router had no limits; the choice of server spread the overflow of a loaded prefix at random, so that each engine computed it anew.

Ruled out: cache events of all engines carried to every router in the view (25 engines with 4,096 blocks are 800 KB a view, against 11 KB a second for control). Prefixes are placed by rendezvous hashing with a bounded load instead, on which all routers agree without a message; the choice still takes events where a view carries them.

Change: admit.rs asks the gate once a request, gives its place back when the generation ends and answers what cannot start in time at once with not_run and Retry-After. A router's part of the engines' places and of the limits is worked out from the live routers that it sees. The deadline goes to the engine. Opening again before the first token takes from the retry budget.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -178,9 +178,9 @@
         self.classes.iter().any(|(_, c)| c.waiting > 0)
     }
 
-    /// The requests that run under a profile.
-    pub fn running(&self, profile: &ProfileName) -> u64 {
-        self.classes.get(profile).map_or(0, |c| c.running)
+    /// What runs and waits under each profile, for a state dump.
+    pub fn classes(&self) -> &impl Serialize {
+        &self.classes
     }
 
     /// Whether a request may start ahead of all that wait.
@@ -204,7 +204,7 @@
     /// Why a request that has to wait is refused at once, if it is.
     fn refusal(&self, now: Millis, key: &LaneKey, deadline: Millis) -> Option<(Reason, Millis)> {
         let class = self.classes.get(&key.0)?;
-        if class.waiting >= class.bounds.queued || class.bounds.capacity == 0 {
+        if class.waiting >= class.bounds.queued {
             return Some((Reason::QueueFull, self.come_back(&key.0)));
         }
         let wait = class.wait(self.ahead(key)) + class.bounds.first;
--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -146,15 +146,11 @@
 
 /// A server that holds the prefix, unless it is loaded well above the others.
 ///
-/// Without a cache event for any of the blocks, all routers agree on the same few servers.
+/// Without a cache event for any of the blocks, all routers agree on the same few servers and on
+/// the order of those that take over when these are loaded.
 fn with_prefix(servers: &[Server<'_>], among: &[usize], ask: &Ask<'_>) -> Option<usize> {
     let prefix = ask.prefix?;
     let most = among.iter().map(|i| servers[*i].cached).max()?;
-    let holders = if most * 2 >= ask.blocks && most > 0 {
-        keep(among, |i| servers[i].cached * 2 >= ask.blocks)
-    } else {
-        homes(servers, among, prefix)
-    };
     let total: u64 = among.iter().map(|i| load(&servers[*i], ask)).sum();
     let bound = total * AFFINITY_PERCENT / 100 / among.len() as u64 + 1;
     let within = |i: &usize| {
@@ -162,15 +158,23 @@
         load(server, ask) <= bound.max(server.slots / 2) && has_room(server)
     };
     let order = |i: &usize| (load(&servers[*i], ask), turn(ask, *i));
-    holders.into_iter().filter(within).min_by_key(order)
+    if most * 2 >= ask.blocks && most > 0 {
+        let holders = keep(among, |i| servers[i].cached * 2 >= ask.blocks);
+        return holders.into_iter().filter(within).min_by_key(order);
+    }
+    let homes = homes(servers, among, prefix);
+    let (first, rest) = homes.split_at(HOMES.min(homes.len()));
+    let home = first.iter().copied().filter(within).min_by_key(order);
+    home.or_else(|| rest.iter().copied().find(within))
 }
 
-/// The servers that are to hold a prefix, by rendezvous hashing.
+/// The servers in the order in which they are to hold a prefix, by rendezvous hashing.
 fn homes(servers: &[Server<'_>], among: &[usize], prefix: u64) -> Vec<usize> {
     let key = format!("{prefix:x}");
     let mut order = among.to_vec();
-    order.sort_by_key(|i| std::cmp::Reverse(base::hash::rendezvous(&key, servers[*i].backend)));
-    order.truncate(HOMES);
+    order.sort_by_cached_key(|i| {
+        std::cmp::Reverse(base::hash::rendezvous(&key, servers[*i].backend))
+    });
     order
 }
 
--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -43,6 +43,7 @@
         "drain": snapshot.drain || router.drain.is_cancelled(),
         "hosts": snapshot.hosts,
         "backends": backends,
+        "admission": router.admission.dump(),
         "requests": router.registry.dump(),
         "journals": {
             "count": journals,
--- /dev/null
+++ b/crates/gooseberry-router/src/admit.rs
@@ -0,0 +1,219 @@
+//! Admission of requests: asks the gate, waits for its answer and frees the place at the end.
+
+mod bounds;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use admission::{Action, Ask, Budget, Gate, Reason};
+use base::prelude::*;
+use base::sorted::Sorted;
+use profiles::document::{Profile, Workspace};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::context::Router;
+use crate::errors::{CallerError, Kind};
+
+/// The time between looks at what waits.
+const TICK: Millis = Millis(20);
+
+/// The greatest random addition to the time after which a caller is to come back.
+const SPREAD: Millis = Millis(1_000);
+
+/// What the gate decided.
+type Verdict = Result<(), (Reason, Millis)>;
+
+/// The gate of a router and the requests that wait at it.
+///
+/// The lock is held for one decision, once when a request arrives and once when it ends; nothing
+/// on the path of a token takes it.
+#[derive(Debug, Default)]
+pub struct Admission {
+    inner: Mutex<Inner>,
+    last: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    gate: Gate,
+    waiting: Sorted<u64, oneshot::Sender<Verdict>>,
+    budgets: Sorted<ProfileName, Budget>,
+}
+
+/// A request that asks to be run.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry<'a> {
+    /// The profile.
+    pub profile: &'a Profile,
+    /// The workspace.
+    pub workspace: &'a Workspace,
+    /// The work that it asks for, as the most tokens of its output.
+    pub cost: u64,
+    /// When its first output must be there.
+    pub deadline: Millis,
+    /// Whether it goes on with work that was admitted before and must not wait.
+    pub is_admitted: bool,
+}
+
+/// A place in the gate; dropping it frees the place.
+pub struct Permit {
+    router: Arc<Router>,
+    profile: ProfileName,
+    workspace: WorkspaceName,
+    started: Millis,
+}
+
+/// A request at the gate; dropped without an answer, it is forgotten.
+struct Ticket<'a> {
+    router: &'a Router,
+    number: u64,
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.router.admission.lock();
+        if inner.waiting.remove(&self.number).is_some() {
+            inner.gate.give_up(self.number);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.router.timer.now();
+        let held = now.since(self.started);
+        let mut out = Vec::new();
+        let mut inner = self.router.admission.lock();
+        inner
+            .gate
+            .done(now, &self.profile, &self.workspace, held, &mut out);
+        inner.answer(out);
+    }
+}
+
+/// Waits until a request may run.
+///
+/// # Errors
+///
+/// `Overloaded` if it was not run and will not be; it says when to come back.
+pub async fn admit(router: &Arc<Router>, entry: &Entry<'_>) -> Result<Permit, CallerError> {
+    let number = router.admission.last.fetch_add(1, Ordering::Relaxed);
+    let (sender, verdict) = oneshot::channel();
+    let _ticket = Ticket { router, number };
+    router.admission.ask(router, number, entry, sender);
+    let permit = || Permit {
+        router: router.clone(),
+        profile: entry.profile.name.clone(),
+        workspace: entry.workspace.name.clone(),
+        started: router.timer.now(),
+    };
+    match verdict.await {
+        Ok(Ok(())) => Ok(permit()),
+        Ok(Err((reason, after))) => Err(overloaded(reason, after)),
+        // The gate answers each request before it forgets it.
+        Err(_) => Err(overloaded(Reason::Expired, SPREAD)),
+    }
+}
+
+/// Looks for ever at what waits, so that nothing waits beyond its deadline.
+pub async fn watch(router: Arc<Router>) {
+    let mut ticks = router.timer.every(TICK);
+    loop {
+        let now = ticks.next().await;
+        if !router.admission.lock().gate.is_waiting() {
+            continue;
+        }
+        let snapshot = router.snapshot();
+        let mut out = Vec::new();
+        let mut inner = router.admission.lock();
+        for profile in &snapshot.document.profiles {
+            let bounds = bounds::class(&router, &snapshot, profile);
+            inner.gate.set_class(&profile.name, bounds);
+        }
+        inner.gate.tick(now, &mut out);
+        inner.answer(out);
+    }
+}
+
+impl Admission {
+    /// Takes one retry out of the budget of a profile, if there is one.
+    pub fn retry(&self, profile: &ProfileName) -> bool {
+        let mut inner = self.lock();
+        let budget = inner.budgets.entry(profile.clone(), Budget::default);
+        budget.spend()
+    }
+
+    /// The gate, for a state dump.
+    pub fn dump(&self) -> Value {
+        let inner = self.lock();
+        let classes = inner.gate.classes();
+        json!({ "classes": classes, "waiting": inner.waiting.len() })
+    }
+
+    fn ask(
+        &self,
+        router: &Router,
+        ticket: u64,
+        entry: &Entry<'_>,
+        sender: oneshot::Sender<Verdict>,
+    ) {
+        let snapshot = router.snapshot();
+        let class = bounds::class(router, &snapshot, entry.profile);
+        let space = bounds::space(router, &snapshot, entry.workspace);
+        let ask = Ask {
+            ticket,
+            profile: &entry.profile.name,
+            workspace: &entry.workspace.name,
+            cost: entry.cost,
+            deadline: entry.deadline,
+            is_admitted: entry.is_admitted,
+        };
+        let mut out = Vec::new();
+        let mut inner = self.lock();
+        let budget = inner.budgets.entry(ask.profile.clone(), Budget::default);
+        budget.earn(entry.profile.retry.percent);
+        inner.waiting.insert(ticket, sender);
+        inner.gate.set_class(ask.profile, class);
+        inner.gate.set_space(ask.workspace, space);
+        inner.gate.ask(router.timer.now(), &ask, &mut out);
+        inner.answer(out);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+impl Inner {
+    /// Tells those who wait what was decided.
+    fn answer(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (ticket, verdict) = match action {
+                Action::Start(ticket) => (ticket, Ok(())),
+                Action::Refuse {
+                    ticket,
+                    reason,
+                    after,
+                } => (ticket, Err((reason, after))),
+            };
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                // A request waits until it is answered, or its ticket takes it out of the gate.
+                let _ = sender.send(verdict);
+            }
+        }
+    }
+}
+
+/// The answer to a request that was not run.
+fn overloaded(reason: Reason, after: Millis) -> CallerError {
+    let spread = Millis(rand::random_range(0..SPREAD.0));
+    let seconds = (after + spread).0.div_ceil(1_000);
+    let what = match reason {
+        Reason::QueueFull => "too many requests wait",
+        Reason::TooLate => "no start within the deadline can be had",
+        Reason::Expired => "no place was free before the deadline",
+    };
+    let message = format!("{what}; repeat the request after {seconds} s");
+    CallerError::not_run(Kind::Overloaded, message).retry_after(seconds)
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/admit/bounds.rs
@@ -0,0 +1,91 @@
+//! This router's part of the limits, from the members of the system that it sees.
+
+use admission::{ClassBounds, SpaceBounds, share};
+use base::prelude::*;
+use peer::agent::HostView;
+use profiles::document::{Document, Profile, Workspace};
+
+use crate::backends::Backend;
+use crate::config::Snapshot;
+use crate::context::Router;
+
+/// What stands for no limit; far below the largest number, so that sums do not overflow.
+const UNLIMITED: u64 = u32::MAX as u64;
+
+/// What this router may do under a profile.
+pub(super) fn class(router: &Router, snapshot: &Snapshot, profile: &Profile) -> ClassBounds {
+    let engines = carried(router, snapshot, profile);
+    let capacity = match profile.limits.running {
+        0 => engines,
+        limit => engines.min(part(router, snapshot, limit, true)),
+    };
+    ClassBounds {
+        capacity,
+        queued: profile.limits.queued,
+        priority: profile.priority,
+        first: first(router, snapshot, profile),
+    }
+}
+
+/// What this router may do for a workspace.
+pub(super) fn space(router: &Router, snapshot: &Snapshot, workspace: &Workspace) -> SpaceBounds {
+    SpaceBounds {
+        share: workspace.share,
+        limit: match workspace.running {
+            0 => 0,
+            limit => part(router, snapshot, limit, true),
+        },
+    }
+}
+
+/// This router's part of what the backend servers of a profile carry, in all data centres.
+fn carried(router: &Router, snapshot: &Snapshot, profile: &Profile) -> u64 {
+    let servers = servers(snapshot, profile);
+    if servers.clone().any(|b| b.seen.slots == 0) {
+        return UNLIMITED;
+    }
+    match servers.map(|b| b.seen.slots).sum::<u64>() {
+        0 => 0,
+        slots => part(router, snapshot, slots, false),
+    }
+}
+
+/// The usual time to the first token under a profile, at most half of its deadline.
+fn first(router: &Router, snapshot: &Snapshot, profile: &Profile) -> Millis {
+    let now = router.timer.now();
+    let mut times: Vec<u64> = servers(snapshot, profile)
+        .map(|b| b.health().latency(now))
+        .filter(|ms| *ms > 0)
+        .collect();
+    times.sort_unstable();
+    let median = times.get(times.len() / 2).copied().unwrap_or(0);
+    Millis(median.min(profile.deadline_ms / 2))
+}
+
+/// The backend servers that work under a profile now.
+fn servers<'a>(
+    snapshot: &'a Snapshot,
+    profile: &'a Profile,
+) -> impl Iterator<Item = &'a Backend> + Clone {
+    let document: &Document = &snapshot.document;
+    let is_one = move |b: &&Backend| {
+        let service = document.service(b.seen.service.as_str());
+        service.is_some_and(|s| s.profile == profile.name) && b.seen.alive && !b.seen.leaving
+    };
+    snapshot.backends.iter().map(|b| &**b).filter(is_one)
+}
+
+/// This router's part of a limit of its data centre, or of all data centres.
+fn part(router: &Router, snapshot: &Snapshot, limit: u64, is_near: bool) -> u64 {
+    let own = &router.settings;
+    let counts = |h: &&HostView| {
+        let is_live = h.alive && !h.leaving || h.host == own.host;
+        is_live && (!is_near || h.data_centre == own.data_centre)
+    };
+    let live: Vec<&HostView> = snapshot.hosts.iter().filter(counts).collect();
+    let rank = live.iter().position(|h| h.host == own.host);
+    // A router that is not listed yet takes the last part.
+    let rank = rank.unwrap_or(live.len());
+    let count = live.len().max(rank + 1);
+    share(limit, rank as u64, count as u64)
+}
--- a/crates/gooseberry-router/src/completions.rs
+++ b/crates/gooseberry-router/src/completions.rs
@@ -12,6 +12,7 @@
 use web::reply::{self, BodyError};
 use web::{Response, StreamCut};
 
+use crate::admit::{Entry, Permit, admit};
 use crate::auth;
 use crate::caller::{self, Completion, KEY_HEADER, Reached};
 use crate::context::Router;
@@ -35,6 +36,7 @@
     router: &Arc<Router>,
     request: Request<Incoming>,
 ) -> Result<Response, CallerError> {
+    let arrived = router.timer.now();
     let snapshot = router.snapshot();
     let document = &snapshot.document;
     let (parts, body) = request.into_parts();
@@ -47,17 +49,28 @@
     let place = Place::read(router, &parts.headers, workspace.name.as_str())?;
     let digest = digest(&completion);
     let claimed = place.claim(router, digest).await?;
+    let max_tokens = completion.max_tokens.min(profile.limits.tokens);
+    let deadline = arrived + Millis(profile.deadline_ms);
+    let entry = Entry {
+        profile,
+        workspace,
+        cost: max_tokens,
+        deadline,
+        is_admitted: !claimed.tokens.is_empty() || claimed.header.stream.is_some(),
+    };
+    let permit = admit(router, &entry).await?;
     let job = Job {
         key: place.key,
         service: service.name.clone(),
         model: model(&claimed, service),
         profile: profile.clone(),
         prompt: Arc::from(completion.prompt.as_str()),
-        max_tokens: completion.max_tokens.min(profile.limits.tokens),
+        max_tokens,
+        deadline,
     };
     let mut claimed = claimed;
     claimed.header.model = job.model.clone();
-    let mut response = run(router, job, claimed, &completion).await;
+    let mut response = run(router, permit, job, claimed, &completion).await;
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&place.shown) {
         headers.insert(KEY_HEADER, value);
@@ -69,12 +82,17 @@
 /// Starts the generation and the writing of its output.
 async fn run(
     router: &Arc<Router>,
+    permit: Permit,
     job: Job,
     claimed: Claimed,
     completion: &Completion,
 ) -> Response {
     let (sender, outputs) = mpsc::channel(OUTPUTS);
-    tokio::spawn(drive(router.clone(), job, claimed, sender));
+    let driving = drive(router.clone(), job, claimed, sender);
+    tokio::spawn(async move {
+        driving.await;
+        drop(permit);
+    });
     if completion.stream {
         let (body, response) = reply::events();
         tokio::spawn(write_events(outputs, completion.model.clone(), body));
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -11,6 +11,7 @@
 use timer::Timer;
 use tokio_util::sync::CancellationToken;
 
+use crate::admit::Admission;
 use crate::config::Snapshot;
 use crate::links::Links;
 use crate::registry::Registry;
@@ -34,6 +35,8 @@
     pub metrics: cadence::StatsdClient,
     /// Cancelled when the host takes no new work.
     pub drain: CancellationToken,
+    /// The limits and the queue.
+    pub admission: Admission,
     /// The number of backend servers chosen so far.
     pub turn: AtomicU64,
     snapshot: ArcSwap<Snapshot>,
@@ -51,6 +54,7 @@
             registry: Registry::default(),
             metrics,
             drain: CancellationToken::new(),
+            admission: Admission::default(),
             turn: AtomicU64::new(0),
             snapshot: ArcSwap::default(),
         }
--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -50,6 +50,8 @@
     pub prompt: Arc<str>,
     /// The most tokens in the output.
     pub max_tokens: u64,
+    /// When the first token must be there.
+    pub deadline: Millis,
 }
 
 /// The state of one generation in flight.
--- a/crates/gooseberry-router/src/drive/attempts.rs
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -198,6 +198,13 @@
     /// Chooses a backend server and starts a stream there.
     pub(super) fn open(&mut self, attempt: Attempt, avoid: &[Attempt]) {
         let avoid = self.attempts.backends(avoid);
+        let is_resume = !self.generation.tokens().is_empty();
+        let is_retry = attempt.0 > 1 && !is_resume;
+        if is_retry && !self.router.admission.retry(&self.job.profile.name) {
+            let cause = OpenError::NoBackend;
+            self.tell(Event::OpenFailed { attempt, cause });
+            return;
+        }
         let blocks = prompt_blocks(&self.job.prompt);
         let want = Want {
             service: &self.job.service,
@@ -205,7 +212,7 @@
             model: Some(&self.job.model),
             blocks: &blocks,
             avoid: &avoid,
-            is_resume: !self.generation.tokens().is_empty(),
+            is_resume,
         };
         let placed = place(&self.router, &want);
         match placed {
@@ -272,7 +279,10 @@
             prefix: tokens.iter().map(|t| t.id).collect(),
             max_tokens: self.job.max_tokens,
             priority: priority.saturating_mul(PRIORITY_STEP) + done.min(PRIORITY_STEP - 1),
-            deadline_ms: None,
+            deadline_ms: tokens.is_empty().then(|| {
+                let left = self.job.deadline.since(self.router.timer.now());
+                left.0
+            }),
         }
     }
 
--- a/crates/gooseberry-router/src/lib.rs
+++ b/crates/gooseberry-router/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are made in the pure crates; this one carries them out.
 
 pub mod admin;
+pub mod admit;
 pub mod auth;
 pub mod backends;
 pub mod caller;
