--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -88,6 +88,10 @@
     /// The key under which a caller may repeat a request.
     RequestKey
 );
+name!(
+    /// An operator's attempt to change the configuration, drawn at random.
+    OperationId
+);
 
 number!(
     /// One life of a process, drawn at random when it starts.
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -1,8 +1,8 @@
 //! The types that almost every module needs.
 
 pub use crate::id::{
-    Attempt, BackendId, DataCentre, Epoch, GenerationId, HostId, Incarnation, Offset, ProfileName,
-    RequestKey, ServiceName, Version, WorkspaceName,
+    Attempt, BackendId, DataCentre, Epoch, GenerationId, HostId, Incarnation, Offset, OperationId,
+    ProfileName, RequestKey, ServiceName, Version, WorkspaceName,
 };
 pub use crate::model::Model;
 pub use crate::time::Millis;
--- a/crates/profiles/src/check.rs
+++ b/crates/profiles/src/check.rs
@@ -1,5 +1,6 @@
 //! Checks of a whole document before it is accepted.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::document::{Document, Kind, Service};
@@ -8,7 +9,7 @@
 const DIGEST_DIGITS: usize = 64;
 
 /// What is wrong with a document.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[error("{place}: found {found}; {remedy}")]
 pub struct Fault {
     /// The path in the document, as `services[0].profile`.
--- a/crates/profiles/src/document.rs
+++ b/crates/profiles/src/document.rs
@@ -197,6 +197,15 @@
         self.workspaces.iter().find(holds)
     }
 
+    /// The workspace called `name`.
+    pub fn workspace_named(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let i = self
+            .workspaces
+            .binary_search_by(|w| w.name.cmp(name))
+            .ok()?;
+        self.workspaces.get(i)
+    }
+
     /// Sorts all lists by name, as lookups need them.
     pub fn sort(&mut self) {
         self.profiles.sort_by(|a, b| a.name.cmp(&b.name));
