Configuration spreads as changes between agents, and operators apply it there

Cause: every agent read the whole document from the platform each half second. A node that started while the platform was away had nothing.

Ruled out: a push of whole documents; liveness from the platform's host list alone (it lags by seconds); a leader per data centre (needs an election).

Two agents of a data centre watch the head; others follow two agents each by held-back calls, for changes and for versions. The order is by rendezvous hashing, so nobody follows in a circle. Whether a chain is fresh travels with the answers; agents whose chain is stale read the platform themselves, and one other agent if it is away. An agent that starts takes the highest version of its peers, or says why it has none. Operators' requests are admitted by the digest of a key in the settings.

Red first, each by undoing its mechanism: stale_read (followed the head down: 1 instead of 3), restart_without_platform and data_centre_cut (peers not asked: never got version 2), racing_operators (both conditions of the transaction taken away; one alone holds), lost_answer (no read-back: conflict 0/1), key_needed (422 instead of 401). watchers_gone failed in earnest first: a stopped agent's open connections went on answering as fresh; they now end with the agent, and freshness is checked by the clock.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod sorted;
 pub mod time;
 pub mod token;
+pub mod traffic;
--- a/crates/gooseberry-agent/src/admin.rs
+++ b/crates/gooseberry-agent/src/admin.rs
@@ -6,10 +6,15 @@
 use telemetry::admin::{Readiness, answer, not_found};
 use web::Response;
 
+use crate::operate;
 use crate::shared::{Agent, SharedAgent};
 
 /// Answers one request.
 pub async fn handle(agent: SharedAgent, request: Request<Incoming>) -> Response {
+    let request = match operate::handle(&agent, request).await {
+        Ok(response) => return response,
+        Err(other) => other,
+    };
     let answered = answer(&request, || state(&agent), || readiness(&agent));
     answered.unwrap_or_else(|| not_found(&request))
 }
@@ -21,7 +26,7 @@
     let reason = if ready {
         String::new()
     } else {
-        "no configuration yet: the platform and all peers are away or hold none".to_owned()
+        format!("no configuration: {}", agent.spread.lack())
     };
     Readiness {
         ready,
@@ -39,5 +44,8 @@
         "incarnation": agent.incarnation,
         "now_ms": agent.timer.now(),
         "view": view,
+        "is_fresh": agent.spread.is_fresh(),
+        "adoptions": agent.spread.adoptions(),
+        "traffic": base::traffic::total(),
     })
 }
--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -2,6 +2,9 @@
 //! router what it needs.
 
 pub mod admin;
+pub mod commit;
+pub mod operate;
 pub mod run;
 pub mod shared;
+pub mod spread;
 pub mod watch;
--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use peer::agent::{About, Ask};
 use peer::serve::AgentServer;
 use settings::agent::Agent as Settings;
 use thiserror::Error;
@@ -11,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, watch};
+use crate::{admin, spread, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
@@ -38,11 +39,11 @@
     );
     let agent = Arc::new(Agent::new(settings, Timer::start()));
     let loops = [
-        tokio::spawn(watch::configuration(agent.clone())),
+        tokio::spawn(spread::run(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
         tokio::spawn(watch::loads(agent.clone())),
     ];
-    let viewed = agent.clone();
+    let (viewed, asked, own) = (agent.clone(), agent.clone(), agent.clone());
     let server = AgentServer {
         view: move |revision, version, wait| {
             let agent = viewed.clone();
@@ -51,6 +52,16 @@
                 agent.view(version)
             }
         },
+        changes: move |ask: Ask| {
+            let agent = asked.clone();
+            async move { spread::answer(&agent, ask).await }
+        },
+        about: move || About {
+            host: own.settings.host.clone(),
+            incarnation: own.incarnation,
+            admin: own.settings.listen.admin,
+            version: own.version(),
+        },
     };
     let serving = tokio::spawn(peer::serve::agent(peers, stop.clone(), server));
     web::server::serve(operators, stop, move |r| admin::handle(agent.clone(), r)).await;
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -8,11 +8,13 @@
 use peer::agent::{BackendView, HostView, View};
 use platform::client::Platform;
 use platform::wire::{Host, HostKind, HostList};
-use profiles::document::Document;
+use profiles::held::Held;
 use settings::agent::Agent as Settings;
 use timer::Timer;
 use tokio::sync::watch;
 
+use crate::spread::Spread;
+
 /// A load report, or the lack of one.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -28,8 +30,8 @@
 /// What an agent knows.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// The configuration, if any was seen.
-    pub document: Option<Document>,
+    /// The configuration.
+    pub held: Held,
     /// The host list.
     pub hosts: HostList,
     /// The load reports.
@@ -48,6 +50,8 @@
     pub incarnation: Incarnation,
     /// The platform.
     pub platform: Platform,
+    /// How the configuration spreads.
+    pub spread: Spread,
     known: Mutex<Known>,
     revision: watch::Sender<u64>,
 }
@@ -64,6 +68,7 @@
             timer,
             incarnation: Incarnation(rand::random()),
             platform,
+            spread: Spread::default(),
             known: Mutex::default(),
             revision: watch::Sender::new(1),
         }
@@ -84,7 +89,7 @@
 
     /// The version of the configuration; 0 if there is none.
     pub fn version(&self) -> Version {
-        self.read(|k| k.document.as_ref().map_or(Version(0), |d| d.version))
+        self.read(|k| k.held.version())
     }
 
     /// Waits until the revision differs from `revision` or `wait` has passed.
@@ -98,12 +103,12 @@
     pub fn view(&self, version: Version) -> View {
         let revision = *self.revision.borrow();
         self.read(|known| {
-            let held = known.document.as_ref();
+            let held = known.held.document();
             View {
                 revision,
                 incarnation: self.incarnation,
-                document: held.filter(|d| d.version != version).cloned(),
-                version: held.map_or(Version(0), |d| d.version),
+                document: (held.version > version).then(|| held.clone()),
+                version: held.version,
                 hosts: known.hosts.hosts.iter().filter_map(host_view).collect(),
                 backends: known
                     .hosts
--- /dev/null
+++ b/crates/gooseberry-agent/tests/config/main.rs
@@ -0,0 +1,5 @@
+//! The configuration, with agents and a platform on loopback addresses.
+
+mod apply;
+mod site;
+mod spread;
--- /dev/null
+++ b/crates/gooseberry-agent/tests/config/site.rs
@@ -0,0 +1,266 @@
+//! Agents and a platform in one process, on loopback addresses of this test run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use base::hash::key_digest;
+use gooseberry_agent::run::run;
+use gooseberry_standin::platform as standin;
+use hyper::{Method, StatusCode};
+use platform::wire::{Host, HostKind};
+use serde_json::{Value, json};
+use settings::agent::Agent as Settings;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// The operators' key.
+pub(crate) const KEY: &str = "operator-key";
+
+/// The longest wait for an outcome; no test asserts a time.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The time limit of a call, above that of a proposal.
+const CALL: Duration = Duration::from_secs(15);
+
+/// A relay that can be cut.
+pub(crate) struct Relay {
+    is_cut: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    pub(crate) async fn start(from: SocketAddr, to: SocketAddr) -> Self {
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let listener = TcpListener::bind(from).await.expect("a free address");
+        let cut = is_cut.clone();
+        let task = tokio::spawn(async move {
+            let mut copies = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (mut near, _) = accepted.expect("a connection");
+                        if !cut.load(Ordering::Relaxed) {
+                            copies.spawn(async move {
+                                let mut far = TcpStream::connect(to).await?;
+                                tokio::io::copy_bidirectional(&mut near, &mut far).await
+                            });
+                        }
+                    }
+                    () = sleep(Duration::from_millis(10)) => {
+                        if cut.load(Ordering::Relaxed) {
+                            copies.abort_all();
+                        }
+                    }
+                }
+            }
+        });
+        Self { is_cut, task }
+    }
+
+    pub(crate) fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A running agent.
+pub(crate) struct Running {
+    pub(crate) settings: Settings,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Running {
+    pub(crate) async fn stop(self) -> Settings {
+        self.stop.cancel();
+        self.task.await.expect("an orderly end");
+        self.settings
+    }
+
+    pub(crate) fn admin(&self) -> SocketAddr {
+        self.settings.listen.admin
+    }
+
+    pub(crate) async fn state(&self) -> Value {
+        get(self.admin(), "/v1/state").await
+    }
+
+    pub(crate) async fn version(&self) -> u64 {
+        let state = self.state().await;
+        state["view"]["version"].as_u64().expect("a version")
+    }
+
+    /// Waits until the agent has `version`.
+    pub(crate) async fn until(&self, version: u64) {
+        let deadline = Instant::now() + PATIENCE;
+        while self.version().await < version {
+            let host = &self.settings.host;
+            assert!(
+                Instant::now() < deadline,
+                "{host} never got version {version}"
+            );
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Puts workspace `name`, based on `base`.
+    pub(crate) async fn put(&self, base: u64, name: &str) -> (StatusCode, Value) {
+        // The agent may just be starting.
+        self.state().await;
+        let change = json!({ "put_workspace": { "name": name, "keys": [] } });
+        let body =
+            json!({ "base": base, "operation": format!("{name}-{base}"), "changes": [change] });
+        self.post("/v1/config/apply", &body, Some(KEY)).await
+    }
+
+    pub(crate) async fn post(
+        &self,
+        path: &str,
+        body: &Value,
+        key: Option<&str>,
+    ) -> (StatusCode, Value) {
+        let addr = self.admin();
+        let mut request = web::client::json_request(addr, Method::POST, path, body);
+        if let Some(key) = key {
+            let value = format!("Bearer {key}").parse().expect("a header");
+            request.headers_mut().insert("authorization", value);
+        }
+        let response = web::client::send(addr, request, CALL)
+            .await
+            .expect("an answer");
+        let status = response.status();
+        let body = match web::client::read_whole(addr, response).await {
+            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(web::client::CallError::Status { body, .. }) => body,
+            Err(e) => panic!("{e}"),
+        };
+        (status, serde_json::from_str(&body).expect("JSON"))
+    }
+}
+
+/// A platform and the addresses of a test.
+pub(crate) struct Site {
+    group: u8,
+    hosts: Vec<Host>,
+    pub(crate) platform: SocketAddr,
+}
+
+impl Site {
+    /// A platform that lists agents in these data centres; `group` is the test's own number.
+    pub(crate) async fn start(group: u8, data_centres: &[&str]) -> Self {
+        Self::with(group, data_centres, &[]).await
+    }
+
+    /// The same, with the agents at `relayed` listed under the addresses of their relays.
+    pub(crate) async fn with(group: u8, data_centres: &[&str], relayed: &[usize]) -> Self {
+        let hosts: Vec<Host> = data_centres
+            .iter()
+            .enumerate()
+            .map(|(i, data_centre)| Host {
+                name: format!("entry-{i}"),
+                data_centre: (*data_centre).into(),
+                kind: HostKind::Entry {
+                    router: address(group, i, 7002),
+                    agent: address(group, i, if relayed.contains(&i) { 7006 } else { 7004 }),
+                },
+                leaving: false,
+            })
+            .collect();
+        let platform = address(group, 200, 7020);
+        let listener = TcpListener::bind(platform).await.expect("a free address");
+        let settings = standin::Settings {
+            lag_ms: 0,
+            hosts: hosts.clone(),
+            ..standin::Settings::default()
+        };
+        tokio::spawn(standin::run(listener, settings, CancellationToken::new()));
+        Self {
+            group,
+            hosts,
+            platform,
+        }
+    }
+
+    /// The address of agent `i`, on another port.
+    pub(crate) fn address(&self, i: usize, port: u16) -> SocketAddr {
+        address(self.group, i, port)
+    }
+
+    /// The settings of agent `i`.
+    pub(crate) fn settings(&self, i: usize) -> Settings {
+        let value = json!({
+            "host": self.hosts[i].name,
+            "data_centre": self.hosts[i].data_centre,
+            "listen": { "peers": self.address(i, 7004), "admin": self.address(i, 7005) },
+            "platform": self.platform,
+            "platform_ms": 500,
+            "poll_ms": 50,
+            "operator_digest": key_digest(KEY),
+        });
+        serde_json::from_value(value).expect("settings")
+    }
+
+    pub(crate) fn agents(&self) -> Vec<Running> {
+        (0..self.hosts.len())
+            .map(|i| agent(self.settings(i)))
+            .collect()
+    }
+
+    pub(crate) async fn faults(&self, switch: Value) {
+        let _: Value = web::client::call(self.platform, Method::POST, "/faults", &switch, CALL)
+            .await
+            .expect("a switch");
+    }
+}
+
+/// Starts an agent.
+pub(crate) fn agent(settings: Settings) -> Running {
+    let stop = CancellationToken::new();
+    let (own, token) = (settings.clone(), stop.clone());
+    let task = tokio::spawn(async move {
+        run(own, token).await.expect("free addresses");
+    });
+    Running {
+        settings,
+        stop,
+        task,
+    }
+}
+
+/// Reads from a process that may just be starting.
+pub(crate) async fn get(addr: SocketAddr, path: &str) -> Value {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match web::client::get(addr, path, CALL).await {
+            Ok(value) => return value,
+            Err(e) => assert!(Instant::now() < deadline, "{e}"),
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A loopback address of this run; runs at the same time have addresses of their own.
+fn address(group: u8, i: usize, port: u16) -> SocketAddr {
+    let run = std::process::id();
+    let octet = |n: u32| u8::try_from(n).expect("below 256");
+    let second = octet(run % 250 + 1);
+    let third = octet(run / 250 % 10) * 25 + group;
+    SocketAddr::from((
+        [
+            127,
+            second,
+            third,
+            u8::try_from(i + 1).expect("a small number"),
+        ],
+        port,
+    ))
+}
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -8,8 +8,11 @@
 use gooseberry_standin::{engine, platform as standin};
 use hyper::Method;
 use platform::client::Platform;
-use platform::wire::{Expect, Host, HostKind, Op, Transact, Write};
+use platform::config::{HeadRow, commit_ops};
+use platform::wire::{Host, HostKind};
+use profiles::change::{Revision, diff};
 use profiles::document::Document;
+use profiles::spread::Way;
 use serde_json::Value;
 use settings::agent::{Agent, Listen as AgentListen};
 use settings::common::Log;
@@ -168,12 +171,12 @@
             addr: self.platform_addr,
             limit: CALL,
         };
-        let op = Op {
-            key: "config/head".to_owned(),
-            expect: Expect::Any,
-            write: Write::Put(serde_json::to_value(document).unwrap_or_default()),
+        let first = Revision {
+            version: Version(1),
+            operation: OperationId::from("first"),
+            changes: diff(&Document::default(), document),
         };
-        let body = Transact { ops: vec![op] };
+        let body = commit_ops(&HeadRow::default(), &first);
         let deadline = Instant::now() + READY;
         loop {
             match platform.transact(&body).await {
@@ -275,6 +278,9 @@
         platform_ms: 1_000,
         poll_ms: 500,
         load_ms: 250,
+        peers: Vec::new(),
+        spread: Way::default(),
+        operator_digest: None,
         log: log(),
         statsd: None,
     }
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use profiles::document::Document;
+use profiles::held::News;
 use serde::{Deserialize, Serialize};
 
 /// An entry host, as an agent sees it.
@@ -75,6 +76,41 @@
     pub drain: bool,
 }
 
+/// What an agent tells another one of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// The version that it holds; 0 if it holds none.
+    pub version: Version,
+    /// Whether it has heard lately, itself or through others, what the platform holds.
+    pub is_fresh: bool,
+    /// What the asker lacks.
+    pub news: News,
+}
+
+/// What an agent says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// The host.
+    pub host: HostId,
+    /// The life of the agent.
+    pub incarnation: Incarnation,
+    /// Where it takes the calls of operators.
+    pub admin: SocketAddr,
+    /// The version of the configuration in force; 0 if there is none.
+    pub version: Version,
+}
+
+/// What an agent asks another one of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The version that the asker holds.
+    pub after: Version,
+    /// How long the answer may be held back while there is nothing new, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether only the version is wanted.
+    pub is_brief: bool,
+}
+
 /// Calls that an agent takes.
 #[tarpc::service]
 pub trait AgentPeer {
@@ -82,4 +118,10 @@
     ///
     /// The document is left out if the asker holds `version`.
     async fn view(revision: u64, version: Version, wait_ms: u64) -> View;
+
+    /// The configuration's newer versions, once there are any or the wait has passed.
+    async fn changes(ask: Ask) -> Changes;
+
+    /// The agent itself.
+    async fn about() -> About;
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,15 +4,18 @@
 use std::time::{Duration, Instant};
 
 use base::prelude::*;
+use base::traffic;
 use journal::record::{Append, Refusal};
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::io::{InspectReader, InspectWriter};
 
-use crate::agent::{AgentPeerClient, View};
+use crate::agent::{About, AgentPeerClient, Ask, Changes, View};
 use crate::router::{RouterPeerClient, Sealed};
 
 /// The largest message between processes, in bytes.
@@ -45,11 +48,22 @@
     },
 }
 
-/// The framing of messages on both sides.
-pub(crate) fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
+/// A connection whose bytes are counted.
+type Counted = InspectReader<InspectWriter<TcpStream, fn(&[u8])>, fn(&[u8])>;
+
+/// A connection as a sequence of messages.
+pub(crate) type Frames = Framed<Counted, LengthDelimitedCodec>;
+
+/// The messages of a connection, on either side.
+pub(crate) fn frames(stream: TcpStream) -> Frames {
+    // Without this, small frames wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let written: InspectWriter<_, fn(&[u8])> = InspectWriter::new(stream, traffic::sent);
+    let counted: Counted = InspectReader::new(written, traffic::received);
+    let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_codec()
+        .new_codec();
+    Framed::new(counted, codec)
 }
 
 /// Declares a link for the client of one service.
@@ -83,13 +97,12 @@
                 }
                 let addr = self.addr;
                 let refused = |cause: String| LinkError::Connect { addr, cause };
-                let mut connecting =
-                    tarpc::serde_transport::tcp::connect(addr, tokio_serde::formats::MessagePack::default);
-                connecting.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-                let transport = timeout(CONNECT_LIMIT, connecting)
+                let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr))
                     .await
                     .map_err(|e| refused(e.to_string()))?
                     .map_err(|e| refused(e.to_string()))?;
+                let format = tokio_serde::formats::MessagePack::default();
+                let transport = tarpc::serde_transport::new(frames(stream), format);
                 let client = $client::new(tarpc::client::Config::default(), transport).spawn();
                 *slot = Some(client.clone());
                 Ok(client)
@@ -209,4 +222,24 @@
         })
         .await
     }
+
+    /// Asks an agent for newer versions of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn changes(&self, ask: Ask, limit: Duration) -> Result<Changes, LinkError> {
+        self.call(limit, |c, ctx| async move { c.changes(ctx, ask).await })
+            .await
+    }
+
+    /// Asks an agent for itself.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn about(&self, limit: Duration) -> Result<About, LinkError> {
+        self.call(limit, |c, ctx| async move { c.about(ctx).await })
+            .await
+    }
 }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -5,13 +5,12 @@
 use journal::record::{Append, Refusal};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_serde::formats::MessagePack;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-use crate::agent::{AgentPeer, View};
-use crate::link::codec;
+use crate::agent::{About, AgentPeer, Ask, Changes, View};
+use crate::link::{Frames, frames};
 use crate::router::{RouterPeer, Sealed};
 
 /// What a router does with the calls of its peers.
@@ -52,16 +51,31 @@
 
 /// What an agent does with the calls of routers and other agents.
 #[derive(Clone)]
-pub struct AgentServer<V> {
+pub struct AgentServer<V, C, A> {
     /// Answers with the view.
     pub view: V,
+    /// Answers with what is new in the configuration.
+    pub changes: C,
+    /// Answers with the agent itself.
+    pub about: A,
 }
 
-impl<V, F> AgentPeer for AgentServer<V>
+impl<V, F, C, G, A> AgentPeer for AgentServer<V, C, A>
 where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
+    C: Fn(Ask) -> G + Clone + Send + Sync + 'static,
+    G: Future<Output = Changes> + Send + 'static,
+    A: Fn() -> About + Clone + Send + Sync + 'static,
 {
+    async fn changes(self, _: Context, ask: Ask) -> Changes {
+        (self.changes)(ask).await
+    }
+
+    async fn about(self, _: Context) -> About {
+        (self.about)()
+    }
+
     async fn view(self, _: Context, revision: u64, version: Version, wait_ms: u64) -> View {
         (self.view)(revision, version, Millis(wait_ms)).await
     }
@@ -88,27 +102,35 @@
 }
 
 /// Serves the calls that an agent takes until `stop` is cancelled.
-pub async fn agent<V, F>(listener: TcpListener, stop: CancellationToken, server: AgentServer<V>)
-where
+pub async fn agent<V, F, C, G, A>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    server: AgentServer<V, C, A>,
+) where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
+    C: Fn(Ask) -> G + Clone + Send + Sync + 'static,
+    G: Future<Output = Changes> + Send + 'static,
+    A: Fn() -> About + Clone + Send + Sync + 'static,
 {
+    let end = stop.clone();
     accept(listener, stop, |stream| {
         let transport = tarpc::serde_transport::new(stream, MessagePack::default());
         let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async move {
-            tokio::spawn(call);
-        }));
+        let end = end.clone();
+        tokio::spawn(async move {
+            let serving = calls.for_each(|call| async move {
+                tokio::spawn(call);
+            });
+            // An agent that has stopped must not go on answering with what it knew.
+            end.run_until_cancelled(serving).await;
+        });
     })
     .await;
 }
 
 /// Takes connections and hands each to `run`.
-async fn accept(
-    listener: TcpListener,
-    stop: CancellationToken,
-    run: impl Fn(Framed<TcpStream, LengthDelimitedCodec>),
-) {
+async fn accept(listener: TcpListener, stop: CancellationToken, run: impl Fn(Frames)) {
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -116,8 +138,6 @@
         };
         // A failed accept concerns one connection only; the listener remains usable.
         let Ok((stream, _)) = accepted else { continue };
-        // Without this, small frames wait for the peer's delayed acknowledgement.
-        let _ = stream.set_nodelay(true);
-        run(Framed::new(stream, codec()));
+        run(frames(stream));
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,4 +3,5 @@
 //! This is the only crate that knows the platform's paths and JSON shapes.
 
 pub mod client;
+pub mod config;
 pub mod wire;
--- a/crates/profiles/src/check.rs
+++ b/crates/profiles/src/check.rs
@@ -68,6 +68,11 @@
     }
 }
 
+/// Whether `text` is the digest of a key.
+pub fn is_digest(text: &str) -> bool {
+    text.len() == DIGEST_DIGITS && text.chars().all(|c| c.is_ascii_hexdigit())
+}
+
 /// Whether `name` may be used in paths and keys.
 fn is_name(name: &str) -> bool {
     let is_plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
@@ -129,9 +134,7 @@
             faults.push(Fault::new(format!("workspaces[{i}].share"), "0", remedy));
         }
         for (j, key) in workspace.keys.iter().enumerate() {
-            let is_digest =
-                key.len() == DIGEST_DIGITS && key.chars().all(|c| c.is_ascii_hexdigit());
-            if !is_digest {
+            if !is_digest(key) {
                 let at = format!("workspaces[{i}].keys[{j}]");
                 let remedy = "write the 64 digits that `gooseberryctl digest` prints for the key";
                 faults.push(Fault::new(at, format!("{key:?}"), remedy));
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use profiles::check::Fault;
+use profiles::spread::Way;
 use serde::{Deserialize, Serialize};
 
 use crate::common::{Log, address_fault, name_fault};
@@ -31,6 +32,16 @@
     /// The time between two looks at a backend server's load, in milliseconds.
     #[serde(default = "default_load_ms")]
     pub load_ms: u64,
+    /// Agents to ask for the configuration while the platform is away.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// How new versions of the configuration spread within the data centre.
+    #[serde(default)]
+    pub spread: Way,
+    /// The digest of the operators' key, see [`base::hash::key_digest`]; without one no operator is
+    /// admitted.
+    #[serde(default)]
+    pub operator_digest: Option<String>,
     /// The log.
     #[serde(default)]
     pub log: Log,
@@ -65,6 +76,13 @@
         faults.extend(name_fault("host", self.host.as_str()));
         faults.extend(name_fault("data_centre", self.data_centre.as_str()));
         faults.extend(address_fault("listen.peers", self.listen.peers));
+        if let Some(digest) = &self.operator_digest
+            && !profiles::check::is_digest(digest)
+        {
+            let remedy = "write the 64 digits that `gooseberryctl digest` prints for the key";
+            let place = "operator_digest".to_owned();
+            faults.push(Fault::new(place, format!("{digest:?}"), remedy));
+        }
         for (place, value) in [("poll_ms", self.poll_ms), ("load_ms", self.load_ms)] {
             if value == 0 {
                 let remedy = "write a time in milliseconds above 0";
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::traffic;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,6 +15,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::io::{InspectReader, InspectWriter};
 
 /// The largest whole response body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -92,10 +94,11 @@
         .map_err(|e| unreachable(e.to_string()))?;
     // Without this, small frames wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = timeout_at(deadline, http1::handshake(TokioIo::new(stream)))
-        .await
-        .map_err(|e| unreachable(e.to_string()))?
-        .map_err(|e| unreachable(e.to_string()))?;
+    let (mut sender, connection) =
+        timeout_at(deadline, http1::handshake(TokioIo::new(counted(stream))))
+            .await
+            .map_err(|e| unreachable(e.to_string()))?
+            .map_err(|e| unreachable(e.to_string()))?;
     tokio::spawn(connection);
     timeout_at(deadline, sender.send_request(request))
         .await
@@ -106,6 +109,14 @@
         })
 }
 
+/// A connection whose bytes are counted.
+type Counted = InspectReader<InspectWriter<TcpStream, fn(&[u8])>, fn(&[u8])>;
+
+fn counted(stream: TcpStream) -> Counted {
+    let written: InspectWriter<_, fn(&[u8])> = InspectWriter::new(stream, traffic::sent);
+    InspectReader::new(written, traffic::received)
+}
+
 /// Sends `body` as JSON and reads a JSON answer.
 ///
 /// # Errors
