bench: fault experiments with real processes

Cause: no measurement showed what callers see when engines, routers and connections of a deployment near the users' sizes fail together.

Change: `gooseberry-bench faults` starts 8 entry hosts and 25 or 20 engines, keeps 120 streams in flight a wave, draws each fault alone and pairs of them from the seed (SIGKILL, SIGSTOP/SIGCONT, relays between data centres that go silent or part them), checks every answer token by token and accounts the engines' work over their deaths. The baselines run the same seed in processes of their own.

Ruled out: relays that tell routers apart by their source address (all processes connect from one); instead each data centre has relays, and a host list, of its own.

--- /dev/null
+++ b/crates/gooseberry-bench/src/faults.rs
@@ -0,0 +1,170 @@
+//! `faults`: real processes fail while many answers are under way; every answer is checked token by
+//! token, and what the failures cost is measured.
+
+mod case;
+mod inject;
+mod ledger;
+mod measure;
+mod report;
+mod site;
+mod wave;
+
+use std::process::Stdio;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use tokio::process::Command;
+use tokio::time::timeout;
+
+use crate::harness::fleet::Fleet;
+use crate::harness::relay::Relays;
+use crate::harness::{BenchError, build};
+use case::Case;
+use ledger::Ledger;
+use measure::Paths;
+use site::{Site, User, Variant};
+use wave::{Outcome, Stage};
+
+/// The longest that one baseline may take.
+const BASELINE: Duration = Duration::from_secs(90);
+
+/// The failure-free waves that run at once.
+const FREE_WAVES: usize = 3;
+
+/// How the experiment runs.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct Options {
+    /// Whose deployment: `sao-mai` or `nyah`.
+    #[bpaf(long, argument("NAME"))]
+    profile: User,
+    /// The seed from which faults are drawn.
+    #[bpaf(long, argument("N"), fallback(1))]
+    seed: u64,
+    /// Only this fault, or two joined by `+`.
+    #[bpaf(long, argument("NAME"), optional)]
+    fault: Option<Case>,
+    /// How many streams are in flight in each wave.
+    #[bpaf(long, argument("N"), fallback(120))]
+    streams: usize,
+    /// What carries the streams over a failure: `resume`, `scratch` or `timeout`.
+    #[bpaf(long, argument("NAME"), fallback(Variant::Resume))]
+    variant: Variant,
+    /// Leave the baselines out.
+    no_baselines: bool,
+    /// Print the report as JSON only.
+    json: bool,
+}
+
+/// Runs the experiment; returns whether every answer was whole.
+pub(crate) async fn run(options: Options) -> Result<bool, BenchError> {
+    let programs = build::programs().await?;
+    let mut site = Site::new(options.profile, options.variant, options.streams);
+    let cases = cases(&options);
+    let run = run_waves(&options, &programs, &mut site, &cases).await?;
+    let mut report = report::whole(&options, &site, &run);
+    if options.variant == Variant::Resume && !options.no_baselines {
+        let (scratch, fixed) = tokio::join!(
+            baseline(&options, Variant::Scratch),
+            baseline(&options, Variant::Timeout)
+        );
+        report["baselines"] = serde_json::json!({ "scratch": scratch, "timeout": fixed });
+    }
+    println!("{report:#}");
+    let is_sound = report::is_sound(&report);
+    if !options.json {
+        let verdict = if is_sound {
+            "every answer is whole"
+        } else {
+            "FAILED"
+        };
+        println!("{verdict}");
+    }
+    Ok(is_sound)
+}
+
+/// All that was seen in one run.
+struct Run {
+    outcomes: Vec<Outcome>,
+    /// The work of the same waves without a failure.
+    free: ledger::Work,
+    router: Paths,
+    direct: Paths,
+}
+
+/// The waves of this run: one fault, two at a time, or all.
+fn cases(options: &Options) -> Vec<Case> {
+    if let Some(case) = &options.fault {
+        return vec![case.clone()];
+    }
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let all = case::draw(&mut random);
+    let is_compared = |c: &Case| options.variant == Variant::Resume || c.is_compared();
+    all.into_iter().filter(is_compared).collect()
+}
+
+async fn run_waves(
+    options: &Options,
+    programs: &std::path::Path,
+    site: &mut Site,
+    cases: &[Case],
+) -> Result<Run, BenchError> {
+    let plan = site.plan();
+    let relays = Relays::start(&plan).await?;
+    let fleet = Fleet::start_with(programs, &plan, Some(&relays)).await?;
+    let mut stage = Stage {
+        fleet,
+        relays,
+        plan,
+        ledger: Ledger::default(),
+        random: StdRng::seed_from_u64(options.seed ^ 1),
+    };
+    let before = stage.ledger.total(&stage.fleet).await?;
+    let numbers: Vec<usize> = (0..cases.len()).collect();
+    for some in numbers.chunks(FREE_WAVES) {
+        wave::free(&stage, site, some).await?;
+    }
+    let free = stage.ledger.total(&stage.fleet).await? - before;
+    let (router, direct) = measure::paths(&stage.fleet, site).await;
+    let mut outcomes = Vec::new();
+    for (number, case) in cases.iter().enumerate() {
+        if !options.json {
+            println!("wave {number}: {case}");
+        }
+        outcomes.push(wave::run(&mut stage, site, number, case).await?);
+    }
+    Ok(Run {
+        outcomes,
+        free,
+        router,
+        direct,
+    })
+}
+
+/// The report of the same seed under another way of carrying streams over a failure, run by a
+/// process of its own.
+async fn baseline(options: &Options, variant: Variant) -> Value {
+    let failed = |cause: String| serde_json::json!({ "failed": cause });
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(e) => return failed(e.to_string()),
+    };
+    let mut command = Command::new(program);
+    command.args(["faults", "--json", "--profile"]);
+    command.arg(options.profile.to_string());
+    command.args(["--seed", &options.seed.to_string()]);
+    command.args(["--streams", &options.streams.to_string()]);
+    command.args(["--variant", &variant.to_string()]);
+    if let Some(case) = &options.fault {
+        command.args(["--fault", &case.to_string()]);
+    }
+    command.stdin(Stdio::null()).kill_on_drop(true);
+    match timeout(BASELINE, command.output()).await {
+        Ok(Ok(output)) => serde_json::from_slice(&output.stdout)
+            .unwrap_or_else(|_| failed(String::from_utf8_lossy(&output.stderr).into_owned())),
+        Ok(Err(e)) => failed(e.to_string()),
+        Err(e) => failed(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-bench/src/faults/site.rs
@@ -0,0 +1,246 @@
+//! The deployments of both users, near their sizes of today.
+
+use std::time::Duration;
+
+use base::hash::key_digest;
+use base::prelude::*;
+use generation::Policy;
+use generation::policy::{Mode, ModelGone};
+use gooseberry_standin::{engine, platform};
+use journal::replica::Policy as Witness;
+use profiles::document::{Document, Kind, Profile, Service, Workspace};
+use serde::Serialize;
+use serde_json::json;
+use strum::{Display, EnumString};
+
+use crate::harness::caller::Ask;
+use crate::harness::fleet::{Fleet, Plan};
+
+/// The entry hosts of each user.
+const HOSTS: usize = 8;
+
+/// The most tokens of an answer.
+const TOKENS: u64 = 160;
+
+/// How many times longer the answers are whose callers go away.
+const LONG: u64 = 10;
+
+/// The documents that prompts begin with.
+const SCRIPTS: usize = 24;
+
+/// The bytes of such a document.
+const SCRIPT_BYTES: usize = 4_096;
+
+/// The prompt blocks that an engine's cache holds: three documents and some more.
+const CACHE_BLOCKS: usize = 220;
+
+/// The longest that one answer may take.
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// The bearer key of the workspace.
+const BEARER: &str = "bench-key";
+
+/// The fixed timeout of the baseline that knows no other sign of a loss, in milliseconds.
+const FIXED_MS: u64 = 5_000;
+
+/// Whose deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum User {
+    /// Sao Mai Call Sheet Router Fleet, which weighs the time to resume.
+    SaoMai,
+    /// Freedom of Information Router at NYAH, which weighs the extra work.
+    Nyah,
+}
+
+/// What carries the streams over a failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Variant {
+    /// The user's profile.
+    Resume,
+    /// Suspicion as in the profile, then again from the first token.
+    Scratch,
+    /// A fixed timeout, then again from the first token.
+    Timeout,
+}
+
+/// One deployment and its callers.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    pub(crate) user: User,
+    pub(crate) variant: Variant,
+    pub(crate) streams: usize,
+}
+
+impl Site {
+    pub(crate) fn new(user: User, variant: Variant, streams: usize) -> Self {
+        Self {
+            user,
+            variant,
+            streams,
+        }
+    }
+
+    /// The processes of the deployment.
+    pub(crate) fn plan(&self) -> Plan {
+        let centres = self.centres();
+        let spread = |count: usize| {
+            let one = |i: usize| DataCentre::from(centres[i % centres.len()]);
+            (0..count).map(one).collect()
+        };
+        Plan {
+            hosts: spread(HOSTS),
+            engines: spread(self.engines()),
+            service: ServiceName::from(self.service()),
+            engine: engine::Settings {
+                jitter_ms: 5,
+                cache_blocks: CACHE_BLOCKS,
+                ..engine::Settings::default()
+            },
+            platform: platform::Settings::default(),
+            document: self.document(),
+        }
+    }
+
+    fn centres(&self) -> &'static [&'static str] {
+        match self.user {
+            User::SaoMai => &["vn-south-a", "vn-south-b", "vn-south-c"],
+            User::Nyah => &["bp-kelet", "bp-nyugat", "fehervar-dc", "godollo-dc"],
+        }
+    }
+
+    fn engines(&self) -> usize {
+        match self.user {
+            User::SaoMai => 25,
+            User::Nyah => 20,
+        }
+    }
+
+    pub(crate) fn service(&self) -> &'static str {
+        match self.user {
+            User::SaoMai => "draft-model",
+            User::Nyah => "modellszerver",
+        }
+    }
+
+    pub(crate) fn model(&self) -> Model {
+        engine::Settings::default().models.remove(0)
+    }
+
+    /// The user's profile, changed for a baseline.
+    fn policy(&self) -> Policy {
+        let own = match self.user {
+            User::SaoMai => sao_mai(),
+            User::Nyah => nyah(),
+        };
+        match self.variant {
+            Variant::Resume => own,
+            Variant::Scratch => Policy {
+                mode: Mode::Scratch,
+                ..own
+            },
+            Variant::Timeout => Policy {
+                mode: Mode::Scratch,
+                floor_ms: FIXED_MS,
+                ceiling_ms: FIXED_MS,
+                first_ms: FIXED_MS,
+                ..own
+            },
+        }
+    }
+
+    /// How long a generation goes on for a caller that went away.
+    pub(crate) fn orphan(&self) -> Duration {
+        Duration::from_millis(self.policy().orphan_ms)
+    }
+
+    fn document(&self) -> Document {
+        let profile = Profile {
+            resume: self.policy(),
+            witness: Witness {
+                ack_ms: 200,
+                ..Witness::default()
+            },
+            ..serde_json::from_value(json!({ "name": "drafts" }))
+                .unwrap_or_else(|_| unreachable!("the profile's other fields have defaults"))
+        };
+        Document {
+            version: Version(1),
+            profiles: vec![profile],
+            services: vec![Service {
+                name: ServiceName::from(self.service()),
+                kind: Kind::Model,
+                profile: ProfileName::from("drafts"),
+                models: engine::Settings::default().models,
+                checks_fence: true,
+                may_repeat: Vec::new(),
+                retain_ms: 60_000,
+            }],
+            workspaces: vec![Workspace {
+                name: WorkspaceName::from("bench"),
+                keys: vec![key_digest(BEARER)],
+                share: 1,
+                running: 0,
+            }],
+        }
+    }
+
+    /// The request of one caller of a wave.
+    pub(crate) fn ask(&self, fleet: &Fleet, run: &str, wave: usize, i: usize, long: bool) -> Ask {
+        Ask {
+            key: format!("{run}-{wave}-{i}"),
+            bearer: BEARER.to_owned(),
+            model: self.service().to_owned(),
+            prompt: prompt(wave, i),
+            max_tokens: if long { TOKENS * LONG } else { TOKENS },
+            hosts: fleet.hosts.iter().map(|h| h.callers).collect(),
+            first: i,
+            limit: LIMIT,
+        }
+    }
+}
+
+/// A long document, which several callers share, and a question of one caller's own.
+pub(crate) fn prompt(wave: usize, i: usize) -> String {
+    let script = (wave * 5 + i / 5) % SCRIPTS;
+    let line = format!("Document {script}: the scene is set at dawn, the crew is on the road. ");
+    let mut text: String = line.chars().cycle().take(SCRIPT_BYTES).collect();
+    text.push_str(&format!("Question {wave}-{i}: draft the answer."));
+    text
+}
+
+/// Sao Mai: output goes on as soon as can be.
+fn sao_mai() -> Policy {
+    Policy {
+        mode: Mode::Latency,
+        open_ms: 400,
+        first_ms: 1_500,
+        floor_ms: 150,
+        ceiling_ms: 800,
+        hedge_ms: 50,
+        confirm_ms: 1_500,
+        keepalive_ms: 500,
+        orphan_ms: 3_000,
+        model_gone: ModelGone::Restart,
+        ..Policy::default()
+    }
+}
+
+/// NYAH: no work is done twice unless an engine is certainly gone.
+fn nyah() -> Policy {
+    Policy {
+        mode: Mode::Cost,
+        open_ms: 1_000,
+        first_ms: 4_000,
+        floor_ms: 400,
+        ceiling_ms: 2_000,
+        confirm_ms: 3_500,
+        keepalive_ms: 500,
+        orphan_ms: 3_000,
+        model_gone: ModelGone::Fail,
+        ..Policy::default()
+    }
+}
--- a/crates/gooseberry-bench/src/harness.rs
+++ b/crates/gooseberry-bench/src/harness.rs
@@ -4,6 +4,7 @@
 pub(crate) mod caller;
 pub(crate) mod child;
 pub(crate) mod fleet;
+pub(crate) mod relay;
 pub(crate) mod report;
 
 use std::path::PathBuf;
@@ -32,6 +33,14 @@
         /// The cause given by the system.
         cause: std::io::Error,
     },
+    /// An address of the bench itself cannot be had.
+    #[error("cannot listen on {addr}: {cause}; end what uses the address")]
+    Listen {
+        /// The address.
+        addr: std::net::SocketAddr,
+        /// The cause given by the system.
+        cause: std::io::Error,
+    },
     /// A process did not become ready.
     #[error("{0} did not become ready in time; see its log")]
     NotReady(String),
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -18,6 +18,7 @@
 
 use super::BenchError;
 use super::child::{Child, write_settings};
+use super::relay::Relays;
 
 /// The longest wait for a process to become ready.
 const READY: Duration = Duration::from_secs(10);
@@ -37,6 +38,9 @@
 const BACKEND: u16 = 7010;
 const PLATFORM: u16 = 7020;
 
+/// The distance between the ports of the relays to one address.
+const RELAY_STEP: u16 = 100;
+
 /// What a deployment consists of.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
@@ -65,6 +69,7 @@
     pub(crate) router: Child,
     /// The agent.
     pub(crate) agent: Child,
+    router_file: PathBuf,
 }
 
 /// An engine.
@@ -88,6 +93,8 @@
     pub(crate) platform: Child,
     /// The platform's address.
     pub(crate) platform_addr: SocketAddr,
+    /// With relays, the platforms that show each further data centre its own addresses.
+    views: Vec<Child>,
     /// The entry hosts.
     pub(crate) hosts: Vec<EntryHost>,
     /// The engines.
@@ -104,28 +111,47 @@
 impl Fleet {
     /// Starts all processes and waits until every router takes requests.
     pub(crate) async fn start(programs: &Path, plan: &Plan) -> Result<Self, BenchError> {
+        Self::start_with(programs, plan, None).await
+    }
+
+    /// As [`Self::start`], with connections between the processes going through `relays`.
+    pub(crate) async fn start_with(
+        programs: &Path,
+        plan: &Plan,
+        relays: Option<&Relays>,
+    ) -> Result<Self, BenchError> {
         let folder = folder()?;
-        let platform_addr = address(0, 1, PLATFORM);
-        let mut settings = plan.platform.clone();
-        settings.listen = platform_addr;
-        settings.hosts = host_list(plan);
-        let file = folder.join("platform.json");
-        write_settings(&file, &settings)?;
-        let platform = Child::start(programs, "gooseberry-standin", &["platform"], &file)?;
+        let count = relays.map_or(1, Relays::centres);
+        let mut platforms = Vec::new();
+        for view in 0..count {
+            let mut settings = plan.platform.clone();
+            settings.listen = platform_address(view);
+            settings.hosts = host_list(plan, relays.map(|r| (r, view)));
+            let file = folder.join(format!("platform-{view}.json"));
+            write_settings(&file, &settings)?;
+            let started = Child::start(programs, "gooseberry-standin", &["platform"], &file)?;
+            platforms.push(started);
+        }
+        let views = platforms.split_off(1);
+        let platform = platforms.remove(0);
         let mut fleet = Self {
             programs: programs.to_owned(),
             folder,
             platform,
-            platform_addr,
+            platform_addr: platform_address(0),
+            views,
             hosts: Vec::new(),
             engines: Vec::new(),
         };
-        fleet.put_document(&plan.document).await?;
+        for view in 0..count {
+            put_document(platform_address(view), &plan.document).await?;
+        }
         for i in 0..plan.engines.len() {
             fleet.start_engine(plan, i)?;
         }
         for i in 0..plan.hosts.len() {
-            fleet.start_host(plan, i)?;
+            let view = relays.map_or(0, |r| r.centre(&plan.hosts[i]));
+            fleet.start_host(plan, i, platform_address(view))?;
         }
         for host in &fleet.hosts {
             until_ready(host.admin, &host.callers.to_string()).await?;
@@ -134,6 +160,21 @@
         Ok(fleet)
     }
 
+    /// Starts a router again at its old addresses.
+    pub(crate) fn restart_router(&mut self, i: usize) -> Result<(), BenchError> {
+        let file = self.hosts[i].router_file.clone();
+        self.hosts[i].router = Child::start(&self.programs, "gooseberry-router", &[], &file)?;
+        Ok(())
+    }
+
+    /// Waits until every router takes requests and sees every engine alive.
+    pub(crate) async fn settle(&self) -> Result<(), BenchError> {
+        for host in &self.hosts {
+            until_ready(host.admin, &host.callers.to_string()).await?;
+        }
+        self.until_seen(self.engines.len()).await
+    }
+
     /// Starts an engine again at its old address.
     pub(crate) fn restart_engine(&mut self, i: usize) -> Result<(), BenchError> {
         let file = self.engines[i].file.clone();
@@ -162,28 +203,6 @@
         Ok(())
     }
 
-    /// Puts the first configuration into the platform's table.
-    async fn put_document(&self, document: &Document) -> Result<(), BenchError> {
-        let platform = Platform {
-            addr: self.platform_addr,
-            limit: CALL,
-        };
-        let op = Op {
-            key: "config/head".to_owned(),
-            expect: Expect::Any,
-            write: Write::Put(serde_json::to_value(document).unwrap_or_default()),
-        };
-        let body = Transact { ops: vec![op] };
-        let deadline = Instant::now() + READY;
-        loop {
-            match platform.transact(&body).await {
-                Ok(_) => return Ok(()),
-                Err(e) if Instant::now() > deadline => return Err(e.into()),
-                Err(_) => sleep(LOOK).await,
-            }
-        }
-    }
-
     fn start_engine(&mut self, plan: &Plan, i: usize) -> Result<(), BenchError> {
         let mut settings = plan.engine.clone();
         settings.listen = engine_address(i);
@@ -201,9 +220,14 @@
         Ok(())
     }
 
-    fn start_host(&mut self, plan: &Plan, i: usize) -> Result<(), BenchError> {
-        let router = router_settings(plan, i, self.platform_addr);
-        let agent = agent_settings(plan, i, self.platform_addr);
+    fn start_host(
+        &mut self,
+        plan: &Plan,
+        i: usize,
+        platform: SocketAddr,
+    ) -> Result<(), BenchError> {
+        let router = router_settings(plan, i, platform);
+        let agent = agent_settings(plan, i, platform);
         let router_file = self.folder.join(format!("{}-router.json", router.host));
         let agent_file = self.folder.join(format!("{}-agent.json", agent.host));
         write_settings(&router_file, &router)?;
@@ -213,6 +237,7 @@
             admin: router.listen.admin,
             agent: Child::start(&self.programs, "gooseberry-agent", &[], &agent_file)?,
             router: Child::start(&self.programs, "gooseberry-router", &[], &router_file)?,
+            router_file,
         });
         Ok(())
     }
@@ -239,6 +264,25 @@
     }
 }
 
+/// Puts the first configuration into a platform's table.
+async fn put_document(addr: SocketAddr, document: &Document) -> Result<(), BenchError> {
+    let platform = Platform { addr, limit: CALL };
+    let op = Op {
+        key: "config/head".to_owned(),
+        expect: Expect::Any,
+        write: Write::Put(serde_json::to_value(document).unwrap_or_default()),
+    };
+    let body = Transact { ops: vec![op] };
+    let deadline = Instant::now() + READY;
+    loop {
+        match platform.transact(&body).await {
+            Ok(_) => return Ok(()),
+            Err(e) if Instant::now() > deadline => return Err(e.into()),
+            Err(_) => sleep(LOOK).await,
+        }
+    }
+}
+
 /// The log of a run's own processes.
 fn log() -> Log {
     Log::default()
@@ -280,13 +324,14 @@
     }
 }
 
-/// The platform's list of all hosts.
-fn host_list(plan: &Plan) -> Vec<Host> {
+/// The platform's list of all hosts, as one data centre sees them through relays.
+fn host_list(plan: &Plan, view: Option<(&Relays, usize)>) -> Vec<Host> {
+    let through = |addr| view.map_or(addr, |(_, centre)| relay_address(centre, addr));
     let entries = plan.hosts.iter().enumerate().map(|(i, data_centre)| Host {
         name: host_name(i).0,
         data_centre: data_centre.clone(),
         kind: HostKind::Entry {
-            router: host_address(i, ROUTER_PEERS),
+            router: through(host_address(i, ROUTER_PEERS)),
             agent: host_address(i, AGENT_PEERS),
         },
         leaving: false,
@@ -300,13 +345,32 @@
             data_centre: data_centre.clone(),
             kind: HostKind::Backend {
                 service: plan.service.clone(),
-                addr: engine_address(i),
+                addr: through(engine_address(i)),
             },
             leaving: false,
         });
     entries.chain(engines).collect()
 }
 
+/// The addresses behind relays, each with the data centre in which it is.
+pub(crate) fn relayed(plan: &Plan) -> Vec<(SocketAddr, DataCentre)> {
+    let hosts = plan.hosts.iter().enumerate();
+    let hosts = hosts.map(|(i, d)| (host_address(i, ROUTER_PEERS), d.clone()));
+    let engines = plan.engines.iter().enumerate();
+    let engines = engines.map(|(i, d)| (engine_address(i), d.clone()));
+    hosts.chain(engines).collect()
+}
+
+/// Where the processes of a data centre find `target`.
+pub(crate) fn relay_address(centre: usize, target: SocketAddr) -> SocketAddr {
+    let shift = u16::try_from(centre + 1).unwrap_or(u16::MAX);
+    SocketAddr::new(target.ip(), target.port() + RELAY_STEP * shift)
+}
+
+fn platform_address(view: usize) -> SocketAddr {
+    address(0, 1 + view, PLATFORM)
+}
+
 fn host_name(i: usize) -> HostId {
     HostId(format!("entry-{i}"))
 }
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,7 +1,8 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
 mod demo;
-#[expect(dead_code, reason = "the fault experiments use what the demo does not")]
+mod faults;
+#[expect(dead_code, reason = "later experiments use what these do not")]
 mod harness;
 
 use std::process::ExitCode;
@@ -15,12 +16,16 @@
     /// Kill an engine in the middle of generations and show that every answer is whole.
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::options))] demo::Options),
+    /// Let engines, routers and connections fail while many answers are under way.
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let ran = match command().run() {
         Command::Demo(options) => demo::run(options).await,
+        Command::Faults(options) => faults::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/gooseberry-standin/src/engine.rs
+++ b/crates/gooseberry-standin/src/engine.rs
@@ -87,6 +87,8 @@
 pub struct Stats {
     /// Tokens of prompt and prefix that were computed.
     pub prefill: u64,
+    /// The part of them for streams that are not the first attempt of their generation.
+    pub again: u64,
     /// Tokens of prompt and prefix that were found in the cache.
     pub cached: u64,
     /// Tokens given.
--- a/crates/gooseberry-standin/src/engine/batch.rs
+++ b/crates/gooseberry-standin/src/engine/batch.rs
@@ -102,6 +102,9 @@
         let stream = Arc::new(Stream::new(request, hits as u64, prefill));
         inner.stats.streams += 1;
         inner.stats.prefill += prefill;
+        if !is_first(&stream.request.stream) {
+            inner.stats.again += prefill;
+        }
         inner.stats.cached += hits as u64;
         let mut drops = self.faults.state().drop_events;
         inner.cache.store(&blocks, &mut drops);
@@ -273,6 +276,11 @@
     }
 }
 
+/// Whether a stream is the first attempt of its generation, as its name tells.
+fn is_first(name: &StreamName) -> bool {
+    name.0.rsplit('-').next() == Some("1")
+}
+
 /// Steps the batch for ever.
 pub(super) async fn run(batch: Arc<Batch>) {
     let mut swept = Instant::now();
