--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,7 +1,8 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
 mod demo;
-#[expect(dead_code, reason = "the fault experiments use what the demo does not")]
+mod faults;
+#[expect(dead_code, reason = "later experiments use what these do not")]
 mod harness;
 mod up;
 
@@ -19,6 +20,9 @@
     /// Keep the demo's deployment running and print its addresses.
     #[bpaf(command)]
     Up(#[bpaf(external(up::options))] up::Options),
+    /// Let engines, routers and connections fail while many answers are under way.
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
 }
 
 #[tokio::main]
@@ -26,6 +30,7 @@
     let ran = match command().run() {
         Command::Demo(options) => demo::run(options).await,
         Command::Up(options) => up::run(options).await,
+        Command::Faults(options) => faults::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
