--- /dev/null
+++ b/crates/calls/src/batch.rs
@@ -0,0 +1,184 @@
+//! Writes of many calls in one transaction.
+//!
+//! A transaction takes effect whole or not at all, so a row whose condition does not hold is
+//! answered from the conflict and the rest goes again without it. A row stands at most once in a
+//! transaction: two claims of one key in one transaction would both see it absent.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::once::Expected;
+use crate::record::{Held, Record};
+
+/// When a transaction is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// How long the first write waits for others, in milliseconds.
+    pub delay_ms: u64,
+    /// The most writes in one transaction.
+    pub size: usize,
+    /// The most transactions under way.
+    pub inflight: usize,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            delay_ms: 20,
+            size: 200,
+            inflight: 2,
+        }
+    }
+}
+
+/// One write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// Whose write it is.
+    pub ticket: u64,
+    /// The row.
+    pub key: String,
+    /// What the row must be.
+    pub expected: Expected,
+    /// The new value; none takes the row away.
+    pub record: Option<Record>,
+}
+
+/// What became of a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It took effect and made this version.
+    Committed(u64),
+    /// It had no effect; the row is as given.
+    Found(Option<Held>),
+    /// It may have taken effect, or may yet.
+    Failed,
+}
+
+/// The answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It took effect; the versions in order of the writes.
+    Committed(Vec<u64>),
+    /// It had no effect; the writes whose condition did not hold, by index, and their rows.
+    Conflict(Vec<(usize, Option<Held>)>),
+    /// There is no certain answer.
+    Failed,
+}
+
+/// Writes that wait and transactions under way.
+#[derive(Clone, Debug)]
+pub struct Batcher {
+    policy: Policy,
+    queue: Vec<(Millis, Write)>,
+    flights: Vec<(u64, Vec<Write>)>,
+    last: u64,
+}
+
+impl Batcher {
+    /// An empty batcher.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            queue: Vec::new(),
+            flights: Vec::new(),
+            last: 0,
+        }
+    }
+
+    /// Adds a write.
+    pub fn push(&mut self, now: Millis, write: Write) {
+        self.queue.push((now + Millis(self.policy.delay_ms), write));
+    }
+
+    /// When the next transaction is due, as far as is known now.
+    pub fn due(&self) -> Millis {
+        if self.flights.len() >= self.policy.inflight.max(1) {
+            return Millis::MAX;
+        }
+        let open = || self.queue.iter().filter(|(_, w)| !self.is_flying(&w.key));
+        if open().count() >= self.policy.size.max(1) {
+            return Millis(0);
+        }
+        open().map(|(at, _)| *at).min().unwrap_or(Millis::MAX)
+    }
+
+    /// The transaction to send now, with its number.
+    pub fn next(&mut self, now: Millis) -> Option<(u64, Vec<Write>)> {
+        if self.due() > now {
+            return None;
+        }
+        let mut writes: Vec<Write> = Vec::new();
+        let mut rest = Vec::new();
+        for (at, write) in std::mem::take(&mut self.queue) {
+            let is_twice = writes.iter().any(|w| w.key == write.key);
+            if is_twice || self.is_flying(&write.key) || writes.len() >= self.policy.size.max(1) {
+                rest.push((at, write));
+            } else {
+                writes.push(write);
+            }
+        }
+        self.queue = rest;
+        self.last += 1;
+        self.flights.push((self.last, writes.clone()));
+        Some((self.last, writes))
+    }
+
+    /// Takes in the answer to a transaction; returns what became of writes, by ticket.
+    ///
+    /// Writes that failed only for the sake of others go again at once.
+    pub fn reply(&mut self, now: Millis, number: u64, reply: Reply) -> Vec<(u64, Verdict)> {
+        let Some(i) = self.flights.iter().position(|(n, _)| *n == number) else {
+            return Vec::new();
+        };
+        let (_, writes) = self.flights.remove(i);
+        match reply {
+            Reply::Committed(versions) if versions.len() == writes.len() => writes
+                .iter()
+                .zip(versions)
+                .map(|(w, version)| (w.ticket, Verdict::Committed(version)))
+                .collect(),
+            Reply::Conflict(unmet) if !unmet.is_empty() => self.split(now, writes, unmet),
+            _ => writes.iter().map(|w| (w.ticket, Verdict::Failed)).collect(),
+        }
+    }
+
+    /// How many writes wait or are under way.
+    pub fn len(&self) -> usize {
+        let flying: usize = self.flights.iter().map(|(_, w)| w.len()).sum();
+        self.queue.len() + flying
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn split(
+        &mut self,
+        now: Millis,
+        writes: Vec<Write>,
+        mut unmet: Vec<(usize, Option<Held>)>,
+    ) -> Vec<(u64, Verdict)> {
+        let mut verdicts = Vec::new();
+        let mut again = Vec::new();
+        for (index, write) in writes.into_iter().enumerate() {
+            match unmet.iter().position(|(i, _)| *i == index) {
+                Some(at) => {
+                    let (_, held) = unmet.swap_remove(at);
+                    verdicts.push((write.ticket, Verdict::Found(held)));
+                }
+                None => again.push((now, write)),
+            }
+        }
+        again.append(&mut self.queue);
+        self.queue = again;
+        verdicts
+    }
+
+    fn is_flying(&self, key: &str) -> bool {
+        let holds = |(_, writes): &(u64, Vec<Write>)| writes.iter().any(|w| w.key == key);
+        self.flights.iter().any(holds)
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/claim_batches.rs
@@ -0,0 +1,149 @@
+//! Batches of claims: `tests/scenarios/batches` holds the scripts, and a property follows.
+
+use base::prelude::*;
+use calls::batch::{Batcher, Policy, Reply, Verdict, Write};
+use calls::once::Expected;
+use calls::record::{Held, Owner, Record, State};
+use datadriven::walk;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+#[test]
+fn batch_scenarios() {
+    walk("tests/scenarios/batches", |file| {
+        let mut batcher = Batcher::new(Policy {
+            delay_ms: 20,
+            size: 3,
+            inflight: 2,
+        });
+        let mut now = Millis(0);
+        let mut ticket = 0;
+        file.run(|case| {
+            let mut out = String::new();
+            for line in case.input.lines() {
+                let words: Vec<&str> = line.split_whitespace().collect();
+                match words[0] {
+                    "push" => {
+                        for key in &words[1..] {
+                            ticket += 1;
+                            batcher.push(now, write(ticket, key));
+                        }
+                    }
+                    "wait" => now = now + Millis(words[1].parse().expect("a time")),
+                    "reply" => {
+                        let number = words[1].parse().expect("a number");
+                        for (ticket, verdict) in batcher.reply(now, number, reply(&words[2..])) {
+                            out += &format!("ticket {ticket}: {}\n", show(&verdict));
+                        }
+                    }
+                    verb => panic!("{verb}: there is no such verb"),
+                }
+                while let Some((number, writes)) = batcher.next(now) {
+                    let keys: Vec<&str> = writes.iter().map(|w| w.key.as_str()).collect();
+                    out += &format!("transaction {number}: {}\n", keys.join(" "));
+                }
+            }
+            out
+        });
+    });
+}
+
+/// Reads `ok VERSION..`, `lost` or `conflict INDEX..`.
+fn reply(words: &[&str]) -> Reply {
+    match words[0] {
+        "ok" => Reply::Committed(
+            words[1..]
+                .iter()
+                .map(|w| w.parse().expect("a version"))
+                .collect(),
+        ),
+        "conflict" => {
+            let one = |w: &&str| (w.parse().expect("an index"), Some(held(7, 99)));
+            Reply::Conflict(words[1..].iter().map(one).collect())
+        }
+        _ => Reply::Failed,
+    }
+}
+
+fn show(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Committed(version) => format!("committed {version}"),
+        Verdict::Found(held) => format!("found version {:?}", held.as_ref().map(|h| h.version)),
+        Verdict::Failed => "failed".to_owned(),
+    }
+}
+
+fn write(ticket: u64, key: &str) -> Write {
+    Write {
+        ticket,
+        key: key.to_owned(),
+        expected: Expected::Absent,
+        record: Some(held(0, ticket).record),
+    }
+}
+
+fn held(version: u64, number: u64) -> Held {
+    let owner = Owner {
+        router: Incarnation(1),
+        number,
+    };
+    let record = Record {
+        owner,
+        digest: 0,
+        until_ms: 0,
+        state: State::Running,
+    };
+    Held { version, record }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(52),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Each claim is answered once, and each key is claimed by one ticket at most.
+    #[test]
+    fn batch_claims(keys in prop::collection::vec(0u8..12, 1..60), lost in any::<u64>()) {
+        let mut batcher = Batcher::new(Policy { delay_ms: 5, size: 8, inflight: 2 });
+        let mut rows: Vec<(String, u64)> = Vec::new();
+        for (ticket, key) in keys.iter().enumerate() {
+            batcher.push(Millis(ticket as u64), write(ticket as u64, &format!("k{key}")));
+        }
+        let mut verdicts = Vec::new();
+        let mut flights = Vec::new();
+        for round in 0..1_000u64 {
+            let now = Millis(1_000 + round);
+            while let Some(flight) = batcher.next(now) {
+                flights.push(flight);
+            }
+            let Some((number, writes)) = flights.pop() else { break };
+            let unmet: Vec<_> = writes
+                .iter()
+                .enumerate()
+                .filter(|(_, w)| rows.iter().any(|(key, _)| *key == w.key))
+                .map(|(i, _)| (i, Some(held(1, 1))))
+                .collect();
+            let is_lost = lost >> (round % 64) & 1 == 1;
+            let reply = if !unmet.is_empty() {
+                Reply::Conflict(unmet)
+            } else {
+                rows.extend(writes.iter().map(|w| (w.key.clone(), w.ticket)));
+                let versions = writes.iter().map(|w| w.ticket).collect();
+                if is_lost { Reply::Failed } else { Reply::Committed(versions) }
+            };
+            verdicts.extend(batcher.reply(now, number, reply));
+        }
+        prop_assert!(batcher.is_empty());
+        verdicts.sort_by_key(|(ticket, _)| *ticket);
+        let answered: Vec<u64> = verdicts.iter().map(|(ticket, _)| *ticket).collect();
+        prop_assert_eq!(answered, (0..keys.len() as u64).collect::<Vec<_>>());
+        let mut claimed: Vec<&str> = rows.iter().map(|(key, _)| key.as_str()).collect();
+        claimed.sort_unstable();
+        let count = claimed.len();
+        claimed.dedup();
+        prop_assert_eq!(claimed.len(), count, "a key was claimed twice");
+    }
+}
