Calls to plain services: the client, the router's entry, outcomes, clearing

Cause: `/v1/services/<service>/<path>` did not exist.

Weighed, store down: (a) refuse as `not_run`: false for a key that the caller chose, as another host may have run it; (b) refuse as `unknown` with when to come back; (c) a key minted by the router, sent once, by it alone, without the table. Taken: (b) for a key that the caller chose, (c) without one. A key of the minted form that comes from a caller is looked up and never sent. Ruled out for the client: a pool of connections. One connection carries one call and is opened before the last check, so that only the request itself follows the check, nothing is sent again by the HTTP library, and a late answer has no other call to meet.

Change: crate `service`; router modules `claims` (transactions of many claims) and `services` (rules, one submission, tries, outcomes in the row or the object store, clearing by parts). Refusals of a leaving host say `unknown` for a call with a key of the caller.

A first run of store_down failed: a cancellation that its submission had given up took effect after the outage and made the key `not_run` for good. Writes that nobody waits for are now withdrawn while they are queued.

Shown red by undoing one mechanism at a time: - a broken call sent again: dying_server, undeclared_paths - a timed-out call left running: late_answer (`closed` was [], not ["late"]) - dots in a path followed: undeclared_paths (k2 and k3 ran three times) - a rule without segment boundary: undeclared_paths (k1 ran three times) - large body not stored: large_body; digest not compared: other_body - `not_run` by a leaving host: leaving_host - a foreign minted key sent: minted_key; a minted key that needs the table: store_down; no batches: shared_writes - the failed server chosen again: other_server (both files) - a try without its limit: silent_server - row cleared at once, object left behind: clear_rows - writes not withdrawn: batch_scenarios ("withdraw"); store_down failed once that way and depends on the moment

--- a/crates/calls/src/batch.rs
+++ b/crates/calls/src/batch.rs
@@ -92,6 +92,11 @@
         self.queue.push((now + Millis(self.policy.delay_ms), write));
     }
 
+    /// Withdraws writes that are not under way yet and that nobody wants, by ticket.
+    pub fn withdraw(&mut self, mut is_wanted: impl FnMut(u64) -> bool) {
+        self.queue.retain(|(_, write)| is_wanted(write.ticket));
+    }
+
     /// When the next transaction is due, as far as is known now.
     pub fn due(&self) -> Millis {
         if self.flights.len() >= self.policy.inflight.max(1) {
--- a/crates/calls/tests/claim_batches.rs
+++ b/crates/calls/tests/claim_batches.rs
@@ -29,6 +29,10 @@
                             batcher.push(now, write(ticket, key));
                         }
                     }
+                    "withdraw" => {
+                        let unwanted: u64 = words[1].parse().expect("a ticket");
+                        batcher.withdraw(|ticket| ticket != unwanted);
+                    }
                     "wait" => now = now + Millis(words[1].parse().expect("a time")),
                     "reply" => {
                         let number = words[1].parse().expect("a number");
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -257,6 +257,7 @@
         platform,
         platform_ms: 1_000,
         journal: journal::store::Limits::default(),
+        claims: Default::default(),
         drain_ms: 60_000,
         log: log(),
         statsd: None,
--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -44,6 +44,7 @@
         "hosts": snapshot.hosts,
         "backends": backends,
         "requests": router.registry.dump(),
+        "claims": router.claims.dump(),
         "journals": {
             "count": journals,
             "bytes": bytes,
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -10,9 +10,11 @@
 use timer::Timer;
 use tokio_util::sync::CancellationToken;
 
+use crate::claims::Claims;
 use crate::config::Snapshot;
 use crate::links::Links;
 use crate::registry::Registry;
+use crate::services::repeat::Budgets;
 use crate::shelf::Shelf;
 
 /// A router.
@@ -29,6 +31,10 @@
     pub links: Links,
     /// The requests in flight.
     pub registry: Registry,
+    /// The claims of calls that may not repeat.
+    pub claims: Claims,
+    /// The retries of calls that may repeat.
+    pub budgets: Budgets,
     /// Metrics.
     pub metrics: cadence::StatsdClient,
     /// Cancelled when the host takes no new work.
@@ -46,6 +52,8 @@
             incarnation: Incarnation(rand::random()),
             links: Links::default(),
             registry: Registry::default(),
+            claims: Claims::default(),
+            budgets: Budgets::default(),
             metrics,
             drain: CancellationToken::new(),
             snapshot: ArcSwap::default(),
--- a/crates/gooseberry-router/src/errors.rs
+++ b/crates/gooseberry-router/src/errors.rs
@@ -45,6 +45,12 @@
     Superseded,
     /// It is not known whether the call ran.
     OutcomeUnknown,
+    /// The call could not be sent in time.
+    NotSent,
+    /// The platform's table gives no certain answer.
+    StoreAway,
+    /// The outcome is kept and cannot be read now.
+    OutcomeAway,
     /// The backend server gave no usable answer.
     BadGateway,
 }
@@ -91,7 +97,11 @@
             Kind::NotFound => StatusCode::NOT_FOUND,
             Kind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Kind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Kind::NotReady | Kind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            Kind::NotReady
+            | Kind::Overloaded
+            | Kind::NotSent
+            | Kind::StoreAway
+            | Kind::OutcomeAway => StatusCode::SERVICE_UNAVAILABLE,
             Kind::Superseded => StatusCode::CONFLICT,
             Kind::Lost | Kind::BadGateway => StatusCode::BAD_GATEWAY,
             Kind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gooseberry-router/src/http.rs
+++ b/crates/gooseberry-router/src/http.rs
@@ -10,12 +10,13 @@
 use crate::completions;
 use crate::context::Router;
 use crate::errors::{CallerError, Kind};
+use crate::services;
 
 /// Answers one request of a caller.
 pub async fn handle(router: Arc<Router>, request: Request<Incoming>) -> Response {
     let answered = match router.ready() {
         Ok(()) => route(&router, request).await,
-        Err(reason) => Err(CallerError::not_run(Kind::NotReady, reason).retry_after(1)),
+        Err(reason) => Err(services::not_ready(&request, reason)),
     };
     match answered {
         Ok(response) => response,
@@ -37,6 +38,9 @@
         }
         return completions::handle(router, request).await;
     }
-    let message = format!("there is nothing at {path}; try /v1/completions");
+    if path.starts_with(services::PREFIX) {
+        return services::handle(router, request).await;
+    }
+    let message = format!("there is nothing at {path}; try /v1/completions or /v1/services");
     Err(CallerError::not_run(Kind::NotFound, message))
 }
--- a/crates/gooseberry-router/src/run.rs
+++ b/crates/gooseberry-router/src/run.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::Router;
-use crate::{admin, config, http, stream};
+use crate::services::clear;
+use crate::{admin, claims, config, http, stream};
 
 /// The time between looks for journals that have been held long enough.
 const EXPIRE: Millis = Millis(1_000);
@@ -63,6 +64,8 @@
     let loops = [
         tokio::spawn(config::follow(router.clone())),
         tokio::spawn(expire(router.clone())),
+        tokio::spawn(claims::write(router.clone())),
+        tokio::spawn(clear::follow(router.clone())),
         tokio::spawn(serve_peers(router.clone(), peers, end.clone())),
     ];
     let (r, e) = (router.clone(), end.clone());
--- /dev/null
+++ b/crates/gooseberry-router/src/services/clear.rs
@@ -0,0 +1,108 @@
+//! The clearing of rows whose time of keeping is over.
+//!
+//! The rows are divided into parts, and each part is cleared by one host of those alive. Two hosts
+//! that clear the same part do no harm: a row is taken away only at the version that was read.
+
+use std::sync::Arc;
+
+use base::hash::rendezvous;
+use base::prelude::*;
+use calls::record::{Body, Held, PARTS, State, part_prefix};
+use platform::wire::{Expect, Op, Scan, Transact, Write};
+use web::client::CallError;
+
+use crate::claims::{held, platform};
+use crate::context::Router;
+use crate::services::job::wall_ms;
+
+/// The time between two reads of the table.
+const PAUSE: Millis = Millis(1_000);
+
+/// The most rows in one read.
+const PAGE: usize = 500;
+
+/// Clears for ever.
+pub async fn follow(router: Arc<Router>) {
+    loop {
+        for part in 0..PARTS {
+            if is_own(&router, part) {
+                clear_part(&router, part).await;
+                router.timer.after(PAUSE).await;
+            }
+        }
+        router.timer.after(PAUSE).await;
+    }
+}
+
+/// Whether this host clears `part`.
+fn is_own(router: &Router, part: u64) -> bool {
+    let snapshot = router.snapshot();
+    let key = part_prefix(part);
+    let live = snapshot.hosts.iter().filter(|h| h.alive && !h.leaving);
+    let first = live.max_by_key(|h| rendezvous(&key, h.host.as_str()));
+    first.is_some_and(|h| h.host == router.settings.host)
+}
+
+/// Clears the rows of one part.
+pub async fn clear_part(router: &Router, part: u64) {
+    let mut after = String::new();
+    loop {
+        match clear_page(router, part_prefix(part), &after).await {
+            Ok(Some(last)) => after = last,
+            Ok(None) => return,
+            Err(cause) => {
+                log::warn!(
+                    "old calls not cleared host={} part={part} cause=\"{cause}\"",
+                    router.settings.host
+                );
+                return;
+            }
+        }
+        router.timer.after(PAUSE).await;
+    }
+}
+
+/// Clears one page; returns the key after which the next begins, if there is one.
+async fn clear_page(
+    router: &Router,
+    prefix: String,
+    after: &str,
+) -> Result<Option<String>, CallError> {
+    let scan = Scan {
+        prefix,
+        after: after.to_owned(),
+        limit: PAGE,
+    };
+    let rows = platform(router).scan(&scan).await?;
+    let last = rows.last().map(|r| r.key.clone());
+    let is_last = rows.len() < PAGE;
+    let now = wall_ms();
+    let mut ops = Vec::new();
+    for row in rows {
+        let key = row.key.clone();
+        let Some(held) = held(row).filter(|h| h.record.until_ms < now) else {
+            continue;
+        };
+        clear_object(router, &held).await?;
+        ops.push(Op {
+            key,
+            expect: Expect::Version(held.version),
+            write: Write::Delete,
+        });
+    }
+    if !ops.is_empty() {
+        // A row that changed meanwhile keeps the page for the next round.
+        platform(router).transact(&Transact { ops }).await?;
+    }
+    Ok(last.filter(|_| !is_last))
+}
+
+/// Takes away the body that a row names.
+async fn clear_object(router: &Router, held: &Held) -> Result<(), CallError> {
+    if let State::Done(outcome) = &held.record.state
+        && let Body::Object(name) = &outcome.body
+    {
+        platform(router).delete_object(name).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/services/outcome.rs
@@ -0,0 +1,188 @@
+//! The answers of backend servers as they are kept, and what callers are told.
+
+use base::hash::stable;
+use base::prelude::*;
+use calls::once::{Answer, Doubt};
+use calls::record::{Body, Outcome, State};
+use hyper::StatusCode;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use serde::{Deserialize, Serialize};
+use service::client::Reply;
+use web::{Response, reply};
+
+use crate::claims::platform;
+use crate::context::Router;
+use crate::errors::{CallerError, Kind, Ran};
+use crate::services::job::Job;
+
+/// The largest body kept in a row, in bytes; a larger one goes to the object store.
+const MAX_ROW_BYTES: usize = 8 * 1024;
+
+/// The wait before an object is read again.
+const READ_AGAIN: Millis = Millis(100);
+
+/// The seconds after which it helps to ask again.
+const COME_BACK: u64 = 1;
+
+/// A body in the object store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Object {
+    /// It is text.
+    Text(String),
+    /// It is not.
+    Bytes(Vec<u8>),
+}
+
+/// The outcome of a call, as its row keeps it.
+pub fn outcome(job: &Job, reply: &Reply) -> Outcome {
+    let text = std::str::from_utf8(&reply.body).ok();
+    let body = match text.filter(|t| t.len() <= MAX_ROW_BYTES) {
+        Some(text) => Body::Text(text.to_owned()),
+        None => Body::Object(format!(
+            "call-{:016x}-{:016x}",
+            stable(job.row.as_bytes()),
+            job.digest
+        )),
+    };
+    Outcome {
+        status: reply.status,
+        content: reply.content.clone(),
+        body,
+    }
+}
+
+/// Stores the body that a row is to name; returns whether the row may be written.
+pub async fn keep_body(router: &Router, state: &State, reply: Option<&Reply>) -> bool {
+    let State::Done(Outcome {
+        body: Body::Object(name),
+        ..
+    }) = state
+    else {
+        return true;
+    };
+    let Some(reply) = reply else { return false };
+    let object = match std::str::from_utf8(&reply.body) {
+        Ok(text) => Object::Text(text.to_owned()),
+        Err(_) => Object::Bytes(reply.body.to_vec()),
+    };
+    let value = serde_json::to_value(object).unwrap_or_default();
+    platform(router).put_object(name, &value).await.is_ok()
+}
+
+/// What a caller is told.
+pub async fn response(
+    router: &Router,
+    answer: Answer,
+    fresh: Option<Reply>,
+    deadline: Millis,
+) -> Response {
+    let error = match (answer, fresh) {
+        (Answer::Fresh, Some(reply)) => return whole(reply),
+        (Answer::Fresh, None) => interrupted(),
+        (Answer::Stored(outcome), _) => match read(router, outcome, deadline).await {
+            Some(reply) => return whole(reply),
+            None => away(),
+        },
+        (Answer::NotRun, _) => not_sent(),
+        (Answer::Reused, _) => reused(),
+        (Answer::Unknown(doubt), _) => unknown(doubt),
+    };
+    error.response()
+}
+
+/// The answer of a backend server as a response.
+pub fn whole(answer: Reply) -> Response {
+    let mut response = Response::new(reply::whole(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let content = answer.content.and_then(|c| HeaderValue::from_str(&c).ok());
+    if let Some(content) = content {
+        response.headers_mut().insert(CONTENT_TYPE, content);
+    }
+    response
+}
+
+/// Reads a kept answer, if that can be done in time.
+async fn read(router: &Router, outcome: Outcome, deadline: Millis) -> Option<Reply> {
+    let body = match outcome.body {
+        Body::Text(text) => text.into_bytes(),
+        Body::Object(name) => object(router, &name, deadline).await?,
+    };
+    Some(Reply {
+        status: outcome.status,
+        content: outcome.content,
+        body: body.into(),
+    })
+}
+
+/// Reads a body from the object store.
+async fn object(router: &Router, name: &str, deadline: Millis) -> Option<Vec<u8>> {
+    loop {
+        let value = platform(router).object(name).await.ok().flatten();
+        match value.map(serde_json::from_value) {
+            Some(Ok(Object::Text(text))) => return Some(text.into_bytes()),
+            Some(Ok(Object::Bytes(bytes))) => return Some(bytes),
+            _ if router.timer.now() >= deadline => return None,
+            _ => router.timer.after(READ_AGAIN).await,
+        }
+    }
+}
+
+/// The error of a submission whose task ended early.
+pub fn interrupted() -> CallerError {
+    CallerError {
+        kind: Kind::OutcomeUnknown,
+        message: "the host lost track of the call; repeat it with its key".to_owned(),
+        ran: Ran::Unknown,
+        retry_after: Some(COME_BACK),
+    }
+}
+
+fn not_sent() -> CallerError {
+    let message = "the call was not sent in time and never will be under this key; \
+                   make it again under a new key";
+    CallerError::not_run(Kind::NotSent, message).retry_after(COME_BACK)
+}
+
+fn reused() -> CallerError {
+    let message = "the key belongs to another call; use a new key for this one";
+    CallerError::not_run(Kind::KeyReused, message)
+}
+
+fn away() -> CallerError {
+    CallerError {
+        kind: Kind::OutcomeAway,
+        message: "the call ran and its answer is kept, but cannot be read now; \
+                  repeat it with its key"
+            .to_owned(),
+        ran: Ran::Ran,
+        retry_after: Some(COME_BACK),
+    }
+}
+
+fn unknown(doubt: Doubt) -> CallerError {
+    let (kind, message, retry_after) = match doubt {
+        Doubt::Lost => (
+            Kind::OutcomeUnknown,
+            "the call was sent and its answer is lost; ask the service whether it ran",
+            None,
+        ),
+        Doubt::Busy => (
+            Kind::OutcomeUnknown,
+            "another submission of the key has not ended; repeat the call with its key",
+            Some(COME_BACK),
+        ),
+        Doubt::Store => (
+            Kind::StoreAway,
+            "this host sent nothing, but cannot read whether another did; \
+             repeat the call with its key",
+            Some(COME_BACK),
+        ),
+    };
+    CallerError {
+        kind,
+        message: message.to_owned(),
+        ran: Ran::Unknown,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/src/services/repeat.rs
@@ -0,0 +1,131 @@
+//! Carries out the tries of a call that may repeat.
+
+use std::sync::Mutex;
+
+use base::prelude::*;
+use base::sorted::Sorted;
+use cadence::prelude::*;
+use calls::repeat::{Budget, Failure, Repeat, Try};
+use hyper::StatusCode;
+use profiles::document::Retry;
+use service::client::{Connection, Reply};
+use web::Response;
+use web::client::CallError;
+
+use crate::backends::{NoBackend, place};
+use crate::context::Router;
+use crate::errors::{CallerError, Kind, Ran};
+use crate::services::job::Job;
+use crate::services::outcome;
+
+/// The seconds after which it helps to ask again.
+const COME_BACK: u64 = 1;
+
+/// The retries that the calls of each service have earned.
+#[derive(Debug, Default)]
+pub struct Budgets {
+    services: Mutex<Sorted<ServiceName, Budget>>,
+}
+
+impl Budgets {
+    fn with<T>(&self, service: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut services = self.services.lock().unwrap_or_else(|e| e.into_inner());
+        change(services.entry(service.clone(), Budget::default))
+    }
+}
+
+/// Why a try has no answer.
+enum Missed {
+    /// Nothing was sent.
+    Unsent(Option<BackendId>),
+    /// It may have run.
+    Sent(BackendId, Failure),
+}
+
+/// Makes tries until one is answered.
+pub async fn run(router: &Router, job: &Job, retry: &Retry) -> Response {
+    let number = router.registry.enter(&job.name);
+    let limit = Millis(retry.try_ms.max(1));
+    let mut call = Repeat::new(retry.tries, limit, job.times.deadline);
+    let mut ran = Ran::NotRun;
+    let mut response = None;
+    router
+        .budgets
+        .with(&job.service, |budget| budget.earn(retry.percent));
+    while let Some(next) = next(router, job, &mut call) {
+        match attempt(router, job, &next).await {
+            Ok(reply) => {
+                response = Some(outcome::whole(reply));
+                break;
+            }
+            Err(Missed::Unsent(backend)) => {
+                call.fail(backend.unwrap_or_default(), Failure::Broke);
+            }
+            Err(Missed::Sent(backend, failure)) => {
+                ran = Ran::Unknown;
+                call.fail(backend, failure);
+            }
+        }
+        log::warn!(
+            "try failed key={} host={} tries={}",
+            job.name,
+            router.settings.host,
+            call.tries()
+        );
+        // Metrics that cannot be sent are no concern of the caller.
+        let _ = router.metrics.count("calls.try_failed", 1);
+    }
+    router.registry.leave(number);
+    response.unwrap_or_else(|| failed(ran).response())
+}
+
+/// The next try, if the call has one left.
+fn next(router: &Router, job: &Job, call: &mut Repeat) -> Option<Try> {
+    let now = router.timer.now();
+    router
+        .budgets
+        .with(&job.service, |budget| call.next(now, budget))
+}
+
+/// Makes one try.
+async fn attempt(router: &Router, job: &Job, next: &Try) -> Result<Reply, Missed> {
+    let near = &router.settings.data_centre;
+    let snapshot = router.snapshot();
+    let placed = place(&snapshot, near, &job.service, None, &[], &next.avoid)
+        .map_err(|_: NoBackend| Missed::Unsent(None))?;
+    let seen = &placed.backend.seen;
+    let backend = || seen.backend.clone();
+    let left = || next.until.since(router.timer.now()).duration();
+    // Each try has a connection of its own, so a silent one is never used again.
+    let connection = Connection::open(seen.addr, left())
+        .await
+        .map_err(|_| Missed::Unsent(Some(backend())))?;
+    match connection.call(job.call.clone(), left()).await {
+        Ok(reply) if is_refusal(&reply) => Err(Missed::Sent(backend(), Failure::Broke)),
+        Ok(reply) => Ok(reply),
+        Err(CallError::Timeout { .. }) => Err(Missed::Sent(backend(), Failure::Silent)),
+        Err(_) => Err(Missed::Sent(backend(), Failure::Broke)),
+    }
+}
+
+/// Whether another server may do better.
+fn is_refusal(reply: &Reply) -> bool {
+    let refusals = [
+        StatusCode::BAD_GATEWAY,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::GATEWAY_TIMEOUT,
+    ];
+    refusals
+        .iter()
+        .any(|status| status.as_u16() == reply.status)
+}
+
+/// The error of a call without an answer.
+fn failed(ran: Ran) -> CallerError {
+    CallerError {
+        kind: Kind::BadGateway,
+        message: "no backend server answered in time; repeat the call".to_owned(),
+        ran,
+        retry_after: Some(COME_BACK),
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-router/tests/repeat_calls.rs
@@ -0,0 +1,68 @@
+//! Calls that may repeat, through a whole router.
+
+#[expect(dead_code, reason = "other tests use the rest")]
+mod site;
+
+use hyper::Method;
+use site::{Fake, Manner, Site, document, nowhere, runs, stand_in};
+use tokio_util::sync::CancellationToken;
+
+/// A deadline that no answer of these tests needs.
+const LONG: u64 = 8_000;
+
+#[tokio::test]
+async fn other_server() {
+    let stop = CancellationToken::new();
+    let fake = Fake::default();
+    let dying = fake.serve(Manner::Die).await;
+    let server = stand_in(&stop).await;
+    let site = Site::start(1, &[dying, server], &document(LONG)).await;
+    for i in 0..6 {
+        let seen = site
+            .call(0, Method::GET, "/status/7", &format!("k{i}"), "")
+            .await;
+        assert_eq!(seen.status, 200);
+        assert_eq!(runs(server, &format!("k{i}")).await, 1);
+    }
+    assert!(!fake.ran.lock().expect("a list").is_empty());
+}
+
+#[tokio::test]
+async fn silent_server() {
+    let fake = Fake::default();
+    let server = fake.serve(Manner::Late(60_000)).await;
+    let site = Site::start(1, &[server], &document(LONG)).await;
+    let seen = site.call(0, Method::GET, "/status", "k", "").await;
+    assert_eq!((seen.status, seen.text.as_str()), (200, "k"));
+    assert_eq!(*fake.ran.lock().expect("a list"), ["k", "k"]);
+    assert_eq!(*fake.closed.lock().expect("a list"), ["k"]);
+}
+
+#[tokio::test]
+async fn never_sent() {
+    let site = Site::start(1, &[nowhere().await], &document(400)).await;
+    let seen = site.call(0, Method::GET, "/status", "", "").await;
+    assert_eq!((seen.status, &seen.json()["ran"]), (502, &"not_run".into()));
+    assert!(seen.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn undeclared_paths() {
+    let fake = Fake::default();
+    let dying = fake.serve(Manner::Die).await;
+    let site = Site::start(1, &[dying], &document(LONG)).await;
+    let calls = [
+        (Method::POST, "/status"),
+        (Method::GET, "/statuses"),
+        (Method::GET, "/status/../confirm"),
+        (Method::GET, "/status/%2e%2e/confirm"),
+        (Method::GET, "/other"),
+    ];
+    for (i, (method, path)) in calls.into_iter().enumerate() {
+        let seen = site.call(0, method, path, &format!("k{i}"), "").await;
+        assert_eq!(seen.json()["ran"], "unknown", "{path}");
+    }
+    // Each was sent once: none of them may repeat.
+    let ran = fake.ran.lock().expect("a list").clone();
+    assert_eq!(ran, ["k0", "k1", "k2", "k3", "k4"]);
+}
--- /dev/null
+++ b/crates/gooseberry-router/tests/site/mod.rs
@@ -0,0 +1,314 @@
+//! Routers, a platform and plain services on loopback addresses, in one process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::hash::key_digest;
+use base::prelude::*;
+use bytes::Bytes;
+use gooseberry_router::backends::Backend;
+use gooseberry_router::config::Snapshot;
+use gooseberry_router::context::Router;
+use gooseberry_router::{claims, http};
+use gooseberry_standin::faults::Switch;
+use gooseberry_standin::{platform, service};
+use http_body_util::{BodyExt, Full};
+use hyper::header::AUTHORIZATION;
+use hyper::{HeaderMap, Method, Request};
+use peer::agent::{BackendView, HostView};
+use profiles::document::Document;
+use serde_json::{Value, json};
+use timer::Timer;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// The longest wait of a test for one answer.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// The data centre of everything.
+const HERE: &str = "vn-south-a";
+
+/// A deployment; its servers end with it.
+pub(crate) struct Site {
+    pub(crate) platform: SocketAddr,
+    pub(crate) routers: Vec<Arc<Router>>,
+    callers: Vec<SocketAddr>,
+    stop: CancellationToken,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) text: String,
+}
+
+impl Seen {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+
+    pub(crate) fn key(&self) -> String {
+        let key = self.headers.get("idempotency-key").expect("a key");
+        key.to_str().expect("a plain key").to_owned()
+    }
+}
+
+impl Site {
+    /// Starts routers before these backend servers.
+    pub(crate) async fn start(
+        routers: usize,
+        backends: &[SocketAddr],
+        document: &Document,
+    ) -> Self {
+        let stop = CancellationToken::new();
+        let (listener, platform) = listen().await;
+        let settings = platform::Settings {
+            writes: 100_000,
+            reads: 100_000,
+            ..platform::Settings::default()
+        };
+        tokio::spawn(platform::run(listener, settings, stop.clone()));
+        let mut site = Self {
+            platform,
+            routers: Vec::new(),
+            callers: Vec::new(),
+            stop,
+        };
+        for i in 0..routers {
+            site.add_router(i, backends, document).await;
+        }
+        site
+    }
+
+    async fn add_router(&mut self, i: usize, backends: &[SocketAddr], document: &Document) {
+        let settings = json!({
+            "host": format!("entry-{i}"),
+            "data_centre": HERE,
+            "listen": { "callers": "127.0.0.1:1", "peers": "127.0.0.1:1", "admin": "127.0.0.1:1" },
+            "agent": "127.0.0.1:1",
+            "platform": self.platform,
+            "platform_ms": 200,
+        });
+        let settings = serde_json::from_value(settings).expect("settings");
+        let metrics = telemetry::metrics::start("router", "test", None).expect("metrics");
+        let router = Arc::new(Router::new(settings, Timer::start(), metrics));
+        let seen =
+            |(n, addr): (usize, &SocketAddr)| Arc::new(Backend::adopt(backend(n, *addr), &[]));
+        router.swap(Snapshot {
+            document: Arc::new(document.clone()),
+            hosts: vec![host(i)],
+            backends: backends.iter().enumerate().map(seen).collect(),
+            drain: false,
+        });
+        let (listener, addr) = listen().await;
+        tokio::spawn(claims::write(router.clone()));
+        let r = router.clone();
+        tokio::spawn(web::server::serve(
+            listener,
+            self.stop.clone(),
+            move |request| http::handle(r.clone(), request),
+        ));
+        self.routers.push(router);
+        self.callers.push(addr);
+    }
+
+    /// Calls the service `booking-app` through one router.
+    pub(crate) async fn call(
+        &self,
+        router: usize,
+        method: Method,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Seen {
+        let addr = self.callers[router];
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("/v1/services/booking-app{path}"))
+            .header(AUTHORIZATION, "Bearer site-key")
+            .header("host", addr.to_string());
+        if !key.is_empty() {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a request");
+        let response = web::client::send(addr, request, LIMIT)
+            .await
+            .expect("an answer");
+        let (parts, body) = response.into_parts();
+        let bytes = body.collect().await.expect("a whole body").to_bytes();
+        Seen {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            text: String::from_utf8_lossy(&bytes).into_owned(),
+        }
+    }
+
+    /// Confirms a booking: a call that may not repeat.
+    pub(crate) async fn confirm(&self, router: usize, key: &str) -> Seen {
+        self.call(router, Method::POST, "/confirm", key, "gaffer, Tuesday")
+            .await
+    }
+
+    /// Switches a fault of the platform.
+    pub(crate) async fn switch(&self, switch: Switch) {
+        let _: Value = web::client::call(self.platform, Method::POST, "/faults", &switch, LIMIT)
+            .await
+            .expect("a switch");
+    }
+}
+
+/// A plain service stand-in.
+pub(crate) async fn stand_in(stop: &CancellationToken) -> SocketAddr {
+    let (listener, addr) = listen().await;
+    tokio::spawn(service::run(
+        listener,
+        service::Settings::default(),
+        stop.clone(),
+    ));
+    addr
+}
+
+/// How often a stand-in ran `key`.
+pub(crate) async fn runs(addr: SocketAddr, key: &str) -> u64 {
+    let runs: Vec<service::Runs> = web::client::get(addr, "/runs", LIMIT).await.expect("runs");
+    runs.iter().find(|r| r.key == key).map_or(0, |r| r.count)
+}
+
+/// A server of one line of behaviour; each call is noted by its key.
+#[derive(Clone, Default)]
+pub(crate) struct Fake {
+    /// The keys of the calls that ran.
+    pub(crate) ran: Arc<Mutex<Vec<String>>>,
+    /// The keys of the calls whose connection the caller closed before the answer.
+    pub(crate) closed: Arc<Mutex<Vec<String>>>,
+}
+
+/// What a [`Fake`] does with a call that it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Manner {
+    /// Closes the connection.
+    Die,
+    /// Answers the first call after so many milliseconds, the others at once.
+    Late(u64),
+}
+
+impl Fake {
+    /// Serves for as long as the test runs.
+    pub(crate) async fn serve(&self, manner: Manner) -> SocketAddr {
+        let (listener, addr) = listen().await;
+        let fake = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(fake.clone().connection(stream, manner));
+            }
+        });
+        addr
+    }
+
+    async fn connection(self, mut stream: TcpStream, manner: Manner) {
+        let mut head = vec![0; 4_096];
+        loop {
+            let Ok(count @ 1..) = stream.read(&mut head).await else {
+                return;
+            };
+            let text = String::from_utf8_lossy(&head[..count]).to_lowercase();
+            let key = text.split("idempotency-key: ").nth(1).unwrap_or_default();
+            let key = key.lines().next().unwrap_or_default().to_owned();
+            let is_first = {
+                let mut ran = self.ran.lock().expect("a list");
+                ran.push(key.clone());
+                ran.len() == 1
+            };
+            match manner {
+                Manner::Die => return,
+                Manner::Late(ms) if is_first => {
+                    let mut byte = [0];
+                    let wait =
+                        tokio::time::timeout(Duration::from_millis(ms), stream.read(&mut byte));
+                    if wait.await.is_ok() {
+                        self.closed.lock().expect("a list").push(key);
+                        return;
+                    }
+                }
+                Manner::Late(_) => {}
+            }
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{key}",
+                key.len()
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// One plain service; a GET of `/status` may be repeated.
+pub(crate) fn document(deadline_ms: u64) -> Document {
+    let document = json!({
+        "version": 1,
+        "profiles": [{ "name": "bookings", "deadline_ms": deadline_ms,
+            "retry": { "tries": 3, "percent": 10, "try_ms": 300 } }],
+        "services": [{ "name": "booking-app", "kind": "plain", "profile": "bookings",
+            "may_repeat": [{ "method": "GET", "path": "/status" }], "retain_ms": 60_000 }],
+        "workspaces": [{ "name": "crew", "keys": [key_digest("site-key")] }],
+    });
+    serde_json::from_value(document).expect("a document")
+}
+
+/// An address where nothing listens.
+pub(crate) async fn nowhere() -> SocketAddr {
+    let (listener, addr) = listen().await;
+    drop(listener);
+    addr
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    (listener, addr)
+}
+
+fn host(i: usize) -> HostView {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    HostView {
+        host: HostId(format!("entry-{i}")),
+        data_centre: DataCentre::from(HERE),
+        router: nowhere,
+        agent: nowhere,
+        incarnation: None,
+        leaving: false,
+        alive: true,
+    }
+}
+
+fn backend(n: usize, addr: SocketAddr) -> BackendView {
+    BackendView {
+        backend: BackendId(format!("booking-{n}")),
+        service: ServiceName::from("booking-app"),
+        data_centre: DataCentre::from(HERE),
+        addr,
+        incarnation: None,
+        leaving: false,
+        alive: true,
+        // The first is the least loaded, so that each call goes there first.
+        running: n as u64 * 10,
+        queued: 0,
+        slots: 0,
+        models: Vec::new(),
+        age_ms: 0,
+        blocks: Vec::new(),
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -66,6 +66,16 @@
         get(self.addr, &format!("/v1/objects/{name}"), self.limit).await
     }
 
+    /// Takes an object away.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn delete_object(&self, name: &str) -> Result<(), CallError> {
+        let path = format!("/v1/objects/{name}");
+        call(self.addr, Method::DELETE, &path, &(), self.limit).await
+    }
+
     /// Reads the host list.
     ///
     /// # Errors
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use calls::batch::Policy as Claims;
 use journal::store::Limits;
 use profiles::check::Fault;
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,9 @@
     /// The bounds on journals.
     #[serde(default)]
     pub journal: Limits,
+    /// How claims of calls that may not repeat share the table's writes.
+    #[serde(default)]
+    pub claims: Claims,
     /// How long a planned stop waits for requests in flight, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
