--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -45,6 +45,7 @@
         "backends": backends,
         "admission": router.admission.dump(),
         "requests": router.registry.dump(),
+        "claims": router.claims.dump(),
         "journals": {
             "count": journals,
             "bytes": bytes,
--- a/crates/gooseberry-router/src/run.rs
+++ b/crates/gooseberry-router/src/run.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::Router;
-use crate::{admin, admit, config, http, stream};
+use crate::services::clear;
+use crate::{admin, admit, claims, config, http, stream};
 
 /// The time between looks for journals that have been held long enough.
 const EXPIRE: Millis = Millis(1_000);
@@ -64,6 +65,8 @@
         tokio::spawn(config::follow(router.clone())),
         tokio::spawn(expire(router.clone())),
         tokio::spawn(admit::watch(router.clone())),
+        tokio::spawn(claims::write(router.clone())),
+        tokio::spawn(clear::follow(router.clone())),
         tokio::spawn(serve_peers(router.clone(), peers, end.clone())),
     ];
     let (r, e) = (router.clone(), end.clone());
