peer: a call over a connection of a past process is made again at once

Change: when a call over a connection that was open before fails, it is made once more over a new one within the same time limit. All calls between peers may be received twice (appends pass over what is held, seals under the same epoch repeat, close is a mark).

Red first: peer_restart seal_answered failed with 'its successor answers the first call: Lost'.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -75,11 +75,11 @@
                 self.addr
             }
 
-            /// The client over the open connection, or over a new one.
-            async fn client(&self) -> Result<$client, LinkError> {
+            /// The client over the open connection, or over a new one; and whether it was open.
+            async fn client(&self) -> Result<($client, bool), LinkError> {
                 let mut slot = self.client.lock().await;
                 if let Some(client) = slot.as_ref() {
-                    return Ok(client.clone());
+                    return Ok((client.clone(), true));
                 }
                 let addr = self.addr;
                 let refused = |cause: String| LinkError::Connect { addr, cause };
@@ -92,7 +92,7 @@
                     .map_err(|e| refused(e.to_string()))?;
                 let client = $client::new(tarpc::client::Config::default(), transport).spawn();
                 *slot = Some(client.clone());
-                Ok(client)
+                Ok((client, false))
             }
 
             /// Closes the connection, so that the next call opens a new one.
@@ -101,20 +101,43 @@
             }
 
             /// Makes one call within `limit`; the connection is given up if it is not answered.
+            ///
+            /// A connection that was open before may end at a process that is gone by now, so the
+            /// call is made once more over a new one. Calls between peers may be received twice.
             async fn call<T, F>(
                 &self,
                 limit: Duration,
-                run: impl FnOnce($client, Context) -> F,
+                run: impl Fn($client, Context) -> F,
+            ) -> Result<T, LinkError>
+            where
+                F: Future<Output = Result<T, RpcError>>,
+            {
+                let deadline = Instant::now() + limit;
+                let (client, was_open) = self.client().await?;
+                let answer = self.try_call(client, deadline, &run).await;
+                if answer.is_ok() || !was_open || Instant::now() >= deadline {
+                    return answer;
+                }
+                let (client, _) = self.client().await?;
+                self.try_call(client, deadline, &run).await
+            }
+
+            /// Makes one call over the connection of `client`.
+            async fn try_call<T, F>(
+                &self,
+                client: $client,
+                deadline: Instant,
+                run: &impl Fn($client, Context) -> F,
             ) -> Result<T, LinkError>
             where
                 F: Future<Output = Result<T, RpcError>>,
             {
                 let addr = self.addr;
                 let lost = |cause: String| LinkError::Lost { addr, cause };
-                let client = self.client().await?;
                 let mut context = context::current();
-                context.deadline = Instant::now() + limit + GRACE;
-                let answer = match timeout(limit, run(client, context)).await {
+                context.deadline = deadline + GRACE;
+                let left = deadline.saturating_duration_since(Instant::now());
+                let answer = match timeout(left, run(client, context)).await {
                     Ok(Ok(answer)) => return Ok(answer),
                     Ok(Err(e)) => lost(e.to_string()),
                     Err(e) => lost(e.to_string()),
@@ -148,8 +171,11 @@
         batch: Vec<Append>,
         limit: Duration,
     ) -> Result<Vec<Result<Offset, Refusal>>, LinkError> {
-        self.call(limit, |c, ctx| async move { c.append(ctx, batch).await })
-            .await
+        self.call(limit, |c, ctx| {
+            let batch = batch.clone();
+            async move { c.append(ctx, batch).await }
+        })
+        .await
     }
 
     /// Seals a journal at the peer.
@@ -164,9 +190,9 @@
         digest: u64,
         limit: Duration,
     ) -> Result<Result<Sealed, Refusal>, LinkError> {
-        let key = key.clone();
-        self.call(limit, |c, ctx| async move {
-            c.seal(ctx, key, epoch, digest).await
+        self.call(limit, |c, ctx| {
+            let key = key.clone();
+            async move { c.seal(ctx, key, epoch, digest).await }
         })
         .await
     }
@@ -182,11 +208,10 @@
         epoch: Epoch,
         limit: Duration,
     ) -> Result<(), LinkError> {
-        let key = key.clone();
-        self.call(
-            limit,
-            |c, ctx| async move { c.close(ctx, key, epoch).await },
-        )
+        self.call(limit, |c, ctx| {
+            let key = key.clone();
+            async move { c.close(ctx, key, epoch).await }
+        })
         .await
     }
 }
