--- a/crates/gooseberry-agent/src/admin.rs
+++ b/crates/gooseberry-agent/src/admin.rs
@@ -1,25 +1,48 @@
 //! The operators' entry of an agent.
 
-use hyper::Request;
 use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use telemetry::admin::{Readiness, answer, not_found};
-use web::Response;
+use telemetry::admin::{Readiness, answer, not_found, refusal};
+use web::{Response, reply};
+
+use membership::Members;
 
 use crate::shared::{Agent, SharedAgent};
 
 /// Answers one request.
 pub async fn handle(agent: SharedAgent, request: Request<Incoming>) -> Response {
+    if request.method() == Method::POST && request.uri().path() == "/v1/drain" {
+        return drain(&agent, &request);
+    }
     let answered = answer(&request, || state(&agent), || readiness(&agent));
     answered.unwrap_or_else(|| not_found(&request))
 }
 
+/// Has the host take no new work, if an operator asks for it.
+fn drain(agent: &Agent, request: &Request<Incoming>) -> Response {
+    let settings = &agent.settings;
+    let digest = settings.operator_digest.as_deref();
+    if let Some(refused) = refusal(&settings.host, digest, request) {
+        return refused;
+    }
+    log::info!("drain asked for by an operator host={}", settings.host);
+    agent.members(Members::leave);
+    reply::json(
+        StatusCode::ACCEPTED,
+        &json!({ "host": settings.host, "leaving": true }),
+    )
+}
+
 /// Whether the agent can serve a router.
 fn readiness(agent: &Agent) -> Readiness {
     let version = agent.version();
-    let ready = version.0 > 0;
+    let is_leaving = agent.is_leaving();
+    let ready = version.0 > 0 && !is_leaving;
     let reason = if ready {
         String::new()
+    } else if is_leaving {
+        "the host is leaving; use another".to_owned()
     } else {
         "no configuration yet: the platform and all peers are away or hold none".to_owned()
     };
@@ -39,5 +62,6 @@
         "incarnation": agent.incarnation,
         "now_ms": agent.timer.now(),
         "view": view,
+        "members": agent.members(|m| json!(m)),
     })
 }
--- /dev/null
+++ b/crates/gooseberry-agent/src/heartbeats.rs
@@ -0,0 +1,84 @@
+//! The loop that sends heartbeats to other agents and asks backend servers for their load.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::prelude::*;
+use base::sorted::Sorted;
+use membership::Beat;
+use membership::members::Action;
+use peer::link::AgentLink;
+
+use crate::members::report;
+use crate::shared::{Agent, SharedAgent};
+
+/// The time between looks at what is due.
+const LOOK: Millis = Millis(100);
+
+/// The longest wait for the answer to a heartbeat.
+const BEAT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Connections to other agents, by address.
+#[derive(Default)]
+pub struct Links {
+    links: Mutex<Sorted<SocketAddr, Arc<AgentLink>>>,
+}
+
+impl Links {
+    /// The link to the agent at `addr`.
+    fn get(&self, addr: SocketAddr) -> Arc<AgentLink> {
+        let mut links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+        let link = links.entry(addr, || Arc::new(AgentLink::new(addr)));
+        link.clone()
+    }
+}
+
+/// Sends heartbeats and asks backend servers for ever.
+pub async fn run(agent: SharedAgent) {
+    let mut ticks = agent.timer.every(LOOK);
+    loop {
+        let now = ticks.next().await;
+        let mut actions = Vec::new();
+        agent.members(|m| m.tick(now, &mut actions));
+        for action in actions {
+            let agent = agent.clone();
+            match action {
+                Action::Beat { host, addr } => tokio::spawn(async move {
+                    beat(&agent, host, addr).await;
+                }),
+                Action::Poll { backend, addr } => tokio::spawn(async move {
+                    poll(&agent, backend, addr).await;
+                }),
+            };
+        }
+    }
+}
+
+/// Answers the heartbeat of another agent.
+pub fn answer(agent: &Agent, beat: Beat) -> Beat {
+    let now = agent.timer.now();
+    agent.members(|m| {
+        let from = beat.host.clone();
+        m.heard(now, beat);
+        m.beat(now, &from)
+    })
+}
+
+/// Exchanges heartbeats with one agent.
+async fn beat(agent: &Agent, host: HostId, addr: SocketAddr) {
+    let question = agent.members(|m| m.beat(agent.timer.now(), &host));
+    let link = agent.links.get(addr);
+    // The silence of a host is judged by the time since its last answer.
+    if let Ok(answer) = link.heartbeat(question, BEAT_LIMIT).await {
+        agent.members(|m| m.heard(agent.timer.now(), answer));
+    }
+}
+
+/// Asks one backend server for its load.
+async fn poll(agent: &Agent, backend: BackendId, addr: SocketAddr) {
+    let limit = Millis(agent.settings.load_ms * 2).duration();
+    let answer = engine::client::load(addr, limit).await;
+    let answer = answer.ok().map(report);
+    agent.members(|m| m.polled(agent.timer.now(), &backend, answer));
+}
--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -2,6 +2,9 @@
 //! router what it needs.
 
 pub mod admin;
+pub mod drain;
+pub mod heartbeats;
+pub mod members;
 pub mod run;
 pub mod shared;
 pub mod watch;
--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use membership::Members;
 use peer::serve::AgentServer;
 use settings::agent::Agent as Settings;
 use thiserror::Error;
@@ -11,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, watch};
+use crate::{admin, drain, heartbeats, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
@@ -22,7 +23,7 @@
     cause: std::io::Error,
 }
 
-/// Runs an agent until `stop` is cancelled.
+/// Runs an agent until its host has left, which begins when `stop` is cancelled at the latest.
 ///
 /// # Errors
 ///
@@ -40,9 +41,9 @@
     let loops = [
         tokio::spawn(watch::configuration(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
-        tokio::spawn(watch::loads(agent.clone())),
+        tokio::spawn(heartbeats::run(agent.clone())),
     ];
-    let viewed = agent.clone();
+    let (viewed, beaten, left) = (agent.clone(), agent.clone(), agent.clone());
     let server = AgentServer {
         view: move |revision, version, wait| {
             let agent = viewed.clone();
@@ -51,9 +52,19 @@
                 agent.view(version)
             }
         },
+        heartbeat: move |beat| heartbeats::answer(&beaten, beat),
+        leave: move || left.members(Members::leave),
     };
-    let serving = tokio::spawn(peer::serve::agent(peers, stop.clone(), server));
-    web::server::serve(operators, stop, move |r| admin::handle(agent.clone(), r)).await;
+    let end = CancellationToken::new();
+    let serving = tokio::spawn(peer::serve::agent(peers, end.clone(), server));
+    let (operated, ended) = (agent.clone(), end.clone());
+    let operating = tokio::spawn(web::server::serve(operators, ended, move |r| {
+        admin::handle(operated.clone(), r)
+    }));
+    drain::wait(&agent, &stop).await;
+    end.cancel();
+    // A task that failed has nothing left to wait for.
+    let _ = operating.await;
     for task in loops {
         task.abort();
     }
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -3,27 +3,19 @@
 use std::sync::{Arc, Mutex};
 
 use base::prelude::*;
-use base::sorted::Sorted;
-use engine::wire::Load;
-use peer::agent::{BackendView, HostView, View};
+use membership::listed::Place;
+use membership::members::Own;
+use membership::{Members, Policy};
+use peer::agent::View;
 use platform::client::Platform;
-use platform::wire::{Host, HostKind, HostList};
+use platform::wire::HostList;
 use profiles::document::Document;
 use settings::agent::Agent as Settings;
 use timer::Timer;
 use tokio::sync::watch;
 
-/// A load report, or the lack of one.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// The last report.
-    pub load: Option<Load>,
-    /// The calls that failed since.
-    pub misses: u32,
-}
-
-/// After this many calls without an answer a backend server is taken as dead.
-const DEAD_MISSES: u32 = 3;
+use crate::heartbeats::Links;
+use crate::members::{backend_views, host_views};
 
 /// What an agent knows.
 #[derive(Debug, Default)]
@@ -32,10 +24,6 @@
     pub document: Option<Document>,
     /// The host list.
     pub hosts: HostList,
-    /// The load reports.
-    pub reports: Sorted<BackendId, Report>,
-    /// Whether this host is to take no new work.
-    pub drain: bool,
 }
 
 /// An agent.
@@ -48,6 +36,9 @@
     pub incarnation: Incarnation,
     /// The platform.
     pub platform: Platform,
+    /// Connections to other agents.
+    pub links: Links,
+    members: Mutex<Members>,
     known: Mutex<Known>,
     revision: watch::Sender<u64>,
 }
@@ -59,11 +50,19 @@
             addr: settings.platform,
             limit: Millis(settings.platform_ms).duration(),
         };
+        let incarnation = Incarnation(rand::random());
+        let own = own(&settings, timer.now(), incarnation);
+        let policy = Policy {
+            poll: Millis(settings.load_ms),
+            ..Policy::default()
+        };
         Self {
             settings,
             timer,
-            incarnation: Incarnation(rand::random()),
+            incarnation,
             platform,
+            links: Links::default(),
+            members: Mutex::new(Members::new(own, policy)),
             known: Mutex::default(),
             revision: watch::Sender::new(1),
         }
@@ -82,6 +81,31 @@
         }
     }
 
+    /// Reads or changes what is believed of hosts and backend servers.
+    pub fn members<T>(&self, change: impl FnOnce(&mut Members) -> T) -> T {
+        let mut members = self.members.lock().unwrap_or_else(|e| e.into_inner());
+        let before = members.revision();
+        let result = change(&mut members);
+        if members.revision() != before {
+            self.revision.send_modify(|r| *r += 1);
+        }
+        result
+    }
+
+    /// Whether this host takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.members(|m| m.own().life.leaving)
+    }
+
+    /// Waits until this host takes no new work.
+    pub async fn until_leaving(&self) {
+        let mut news = self.revision.subscribe();
+        while !self.is_leaving() {
+            // The sender is a part of this agent.
+            let _ = news.changed().await;
+        }
+    }
+
     /// The version of the configuration; 0 if there is none.
     pub fn version(&self) -> Version {
         self.read(|k| k.document.as_ref().map_or(Version(0), |d| d.version))
@@ -96,7 +120,13 @@
 
     /// The view for a router that holds `version` of the configuration.
     pub fn view(&self, version: Version) -> View {
+        let now = self.timer.now();
+        self.members(|m| m.refresh(now));
         let revision = *self.revision.borrow();
+        let (hosts, backends, drain) = self.members(|m| {
+            let leaving = m.own().life.leaving;
+            (host_views(m), backend_views(m, now), leaving)
+        });
         self.read(|known| {
             let held = known.document.as_ref();
             View {
@@ -104,58 +134,22 @@
                 incarnation: self.incarnation,
                 document: held.filter(|d| d.version != version).cloned(),
                 version: held.map_or(Version(0), |d| d.version),
-                hosts: known.hosts.hosts.iter().filter_map(host_view).collect(),
-                backends: known
-                    .hosts
-                    .hosts
-                    .iter()
-                    .filter_map(|h| backend_view(h, known))
-                    .collect(),
-                drain: known.drain,
+                hosts,
+                backends,
+                drain,
             }
         })
     }
 }
 
-/// An entry host of the host list.
-fn host_view(host: &Host) -> Option<HostView> {
-    let HostKind::Entry { router, agent } = host.kind else {
-        return None;
-    };
-    Some(HostView {
-        host: HostId(host.name.clone()),
-        data_centre: host.data_centre.clone(),
-        router,
-        agent,
-        incarnation: None,
-        leaving: host.leaving,
-        alive: true,
-    })
-}
-
-/// A backend server of the host list, with its last report.
-fn backend_view(host: &Host, known: &Known) -> Option<BackendView> {
-    let HostKind::Backend { service, addr } = &host.kind else {
-        return None;
+/// The host of an agent; where its router is, the host list tells.
+fn own(settings: &Settings, now: Millis, incarnation: Incarnation) -> Own {
+    let place = Place {
+        data_centre: settings.data_centre.clone(),
+        router: settings.listen.peers,
+        agent: settings.listen.peers,
     };
-    let backend = BackendId(host.name.clone());
-    let report = known.reports.get(&backend).cloned().unwrap_or_default();
-    let load = report.load.clone().unwrap_or_default();
-    Some(BackendView {
-        service: service.clone(),
-        data_centre: host.data_centre.clone(),
-        addr: *addr,
-        incarnation: report.load.as_ref().map(|l| l.incarnation),
-        leaving: host.leaving || load.leaving,
-        alive: report.load.is_some() && report.misses < DEAD_MISSES,
-        running: load.running,
-        queued: load.queued,
-        slots: load.slots,
-        models: load.models,
-        age_ms: load.age_ms,
-        blocks: Vec::new(),
-        backend,
-    })
+    Own::new(now, settings.host.clone(), place, incarnation)
 }
 
 /// A shared agent.
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -258,6 +258,7 @@
         platform_ms: 1_000,
         journal: journal::store::Limits::default(),
         drain_ms: 60_000,
+        operator_digest: None,
         log: log(),
         statsd: None,
     }
@@ -275,6 +276,7 @@
         platform_ms: 1_000,
         poll_ms: 500,
         load_ms: 250,
+        operator_digest: None,
         log: log(),
         statsd: None,
     }
--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -2,20 +2,40 @@
 
 use std::sync::Arc;
 
-use hyper::Request;
 use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use telemetry::admin::{Readiness, answer, not_found};
-use web::Response;
+use telemetry::admin::{Readiness, answer, not_found, refusal};
+use web::{Response, reply};
 
 use crate::context::Router;
 
 /// Answers one request.
 pub async fn handle(router: Arc<Router>, request: Request<Incoming>) -> Response {
+    if request.method() == Method::POST && request.uri().path() == "/v1/drain" {
+        return drain(&router, &request);
+    }
     let answered = answer(&request, || state(&router), || readiness(&router));
     answered.unwrap_or_else(|| not_found(&request))
 }
 
+/// Has the host take no new work, if an operator asks for it.
+fn drain(router: &Router, request: &Request<Incoming>) -> Response {
+    let settings = &router.settings;
+    let digest = settings.operator_digest.as_deref();
+    if let Some(refused) = refusal(&settings.host, digest, request) {
+        return refused;
+    }
+    log::info!("drain asked for by an operator host={}", settings.host);
+    router.drain.cancel();
+    let state = json!({
+        "host": settings.host,
+        "leaving": true,
+        "in_flight": router.registry.len(),
+    });
+    reply::json(StatusCode::ACCEPTED, &state)
+}
+
 fn readiness(router: &Router) -> Readiness {
     let ready = router.ready();
     Readiness {
@@ -41,6 +61,7 @@
         "now_ms": router.timer.now(),
         "version": snapshot.document.version,
         "drain": snapshot.drain || router.drain.is_cancelled(),
+        "agent": snapshot.agent,
         "hosts": snapshot.hosts,
         "backends": backends,
         "requests": router.registry.dump(),
--- a/crates/gooseberry-router/src/config.rs
+++ b/crates/gooseberry-router/src/config.rs
@@ -1,5 +1,6 @@
 //! What the agent told, in force on the request path by an atomic swap of pointers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,42 +32,76 @@
     pub backends: Vec<Arc<Backend>>,
     /// Whether this host is to take no new work.
     pub drain: bool,
+    /// The agent that told all this.
+    pub agent: Option<SocketAddr>,
 }
 
+/// How long another agent is followed before this host's own is tried again.
+const RETURN: Millis = Millis(5_000);
+
 /// Follows the agent for ever: that of this host, else another of the data centre.
 pub async fn follow(router: Arc<Router>) {
-    let mut link = AgentLink::new(router.settings.agent);
+    let own = router.settings.agent;
+    let mut link = AgentLink::new(own);
     let mut revision = 0;
+    let mut since = router.timer.now();
     loop {
+        let now = router.timer.now();
+        if link.addr() != own && now.since(since) >= RETURN {
+            since = now;
+            if let Some(back) = own_agent(&router).await {
+                link = back;
+                revision = 0;
+            }
+        }
         let version = router.snapshot().document.version;
         match link.view(revision, version, WAIT, LIMIT).await {
             Ok(view) => {
                 revision = view.revision;
-                adopt(&router, view);
+                adopt(&router, view, link.addr());
             }
             Err(e) => {
                 log::warn!("agent lost host={} cause=\"{e}\"", router.settings.host);
                 router.timer.after(RETRY).await;
                 link = AgentLink::new(other_agent(&router, &link));
                 revision = 0;
+                since = router.timer.now();
             }
         }
     }
 }
 
+/// A link to the agent of this host, if it answers again.
+async fn own_agent(router: &Router) -> Option<AgentLink> {
+    let link = AgentLink::new(router.settings.agent);
+    let version = router.snapshot().document.version;
+    let view = link.view(0, version, Millis(0), LIMIT).await.ok()?;
+    // An agent that has just started knows less than the one that is followed.
+    (view.version >= version).then_some(link)
+}
+
+/// Tells the agent of this host that the host leaves.
+pub async fn tell_leaving(router: &Router) {
+    let link = AgentLink::new(router.settings.agent);
+    if let Err(e) = link.leave(LIMIT).await {
+        // The host list and the refusals of this router tell the others as well.
+        log::warn!("agent not told host={} cause=\"{e}\"", router.settings.host);
+    }
+}
+
 /// The agent to ask after `failed`: this host's own if another failed, else the next one of the
 /// data centre.
-fn other_agent(router: &Router, failed: &AgentLink) -> std::net::SocketAddr {
+fn other_agent(router: &Router, failed: &AgentLink) -> SocketAddr {
     let own = router.settings.agent;
     if failed.addr() != own {
         return own;
     }
     let snapshot = router.snapshot();
-    let near: Vec<_> = snapshot
-        .hosts
-        .iter()
-        .filter(|h| h.data_centre == router.settings.data_centre && h.agent != own)
-        .collect();
+    let is_near = |h: &&HostView| h.data_centre == router.settings.data_centre && h.agent != own;
+    let all: Vec<&HostView> = snapshot.hosts.iter().filter(is_near).collect();
+    let usable = |h: &&&HostView| h.alive && !h.leaving;
+    let usable: Vec<&HostView> = all.iter().filter(usable).copied().collect();
+    let near = if usable.is_empty() { all } else { usable };
     if near.is_empty() {
         return own;
     }
@@ -74,8 +109,17 @@
     near[i].agent
 }
 
-/// Puts a view into force; a document of a lower version is never taken.
-fn adopt(router: &Router, view: View) {
+/// Puts the view of an agent into force; a document of a lower version is never taken.
+fn adopt(router: &Router, view: View, agent: SocketAddr) {
+    let own = view.hosts.iter().find(|h| h.host == router.settings.host);
+    let drain = if agent == router.settings.agent {
+        view.drain
+    } else {
+        own.is_some_and(|h| h.leaving)
+    };
+    if drain {
+        router.drain.cancel();
+    }
     let held = router.snapshot();
     let document = match view.document {
         Some(document) if document.version > held.document.version => {
@@ -97,6 +141,7 @@
         document,
         hosts: view.hosts,
         backends,
-        drain: view.drain,
+        drain,
+        agent: Some(agent),
     });
 }
--- a/crates/gooseberry-router/src/lib.rs
+++ b/crates/gooseberry-router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod completions;
 pub mod config;
 pub mod context;
+pub mod drain;
 pub mod drive;
 pub mod errors;
 pub mod http;
--- a/crates/gooseberry-router/src/registry.rs
+++ b/crates/gooseberry-router/src/registry.rs
@@ -45,6 +45,13 @@
         self.lock().remove(&number);
     }
 
+    /// The requests in flight, sorted.
+    pub fn keys(&self) -> Vec<RequestKey> {
+        let mut keys: Vec<RequestKey> = self.lock().iter().map(|(_, e)| e.key.clone()).collect();
+        keys.sort();
+        keys
+    }
+
     /// How many requests are in flight.
     pub fn len(&self) -> usize {
         self.lock().len()
--- a/crates/gooseberry-router/src/run.rs
+++ b/crates/gooseberry-router/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::prelude::*;
 use engine::wire::StreamName;
@@ -11,16 +12,17 @@
 use thiserror::Error;
 use timer::Timer;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::context::Router;
-use crate::{admin, config, http, stream};
+use crate::{admin, config, drain, http, stream};
 
 /// The time between looks for journals that have been held long enough.
 const EXPIRE: Millis = Millis(1_000);
 
-/// The time between looks at what a planned stop still waits for.
-const DRAIN_LOOK: Millis = Millis(50);
+/// How long callers may take to read the rest of answers that have ended here.
+const FLUSH: Duration = Duration::from_secs(30);
 
 /// Why a router cannot start.
 #[derive(Debug, Error)]
@@ -40,7 +42,8 @@
     Metrics(#[from] telemetry::metrics::MetricsError),
 }
 
-/// Runs a router until `stop` is cancelled and the requests in flight have ended.
+/// Runs a router until `stop` is cancelled, or its host leaves, and the requests in flight have
+/// ended.
 ///
 /// # Errors
 ///
@@ -73,11 +76,14 @@
     let serving_operators = tokio::spawn(web::server::serve(operators, e, move |request| {
         admin::handle(r.clone(), request)
     }));
-    stop.cancelled().await;
-    drain(&router).await;
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = router.drain.cancelled() => {}
+    }
+    drain::run(&router).await;
     end.cancel();
     // A task that failed has nothing left to wait for.
-    let _ = serving_callers.await;
+    let _ = timeout(FLUSH, serving_callers).await;
     serving_operators.abort();
     for task in loops {
         task.abort();
@@ -86,17 +92,6 @@
     Ok(())
 }
 
-/// Takes no new work and waits for the requests in flight.
-async fn drain(router: &Router) {
-    log::info!("router leaves host={}", router.settings.host);
-    router.drain.cancel();
-    router.shelf.leave();
-    let limit = router.timer.now() + Millis(router.settings.drain_ms);
-    while !router.registry.is_empty() && router.timer.now() < limit {
-        router.timer.after(DRAIN_LOOK).await;
-    }
-}
-
 /// Serves the calls of other routers.
 async fn serve_peers(router: Arc<Router>, listener: TcpListener, stop: CancellationToken) {
     let (a, s, c) = (router.clone(), router.clone(), router);
@@ -105,7 +100,7 @@
             let now = a.timer.now();
             batch
                 .into_iter()
-                .map(|one| a.shelf.append(now, one))
+                .map(|one| a.shelf.witness(now, one))
                 .collect()
         },
         seal: move |key: RequestKey, epoch: Epoch, digest: u64| {
--- a/crates/gooseberry-router/src/shelf.rs
+++ b/crates/gooseberry-router/src/shelf.rs
@@ -5,7 +5,7 @@
 use base::hash::stable;
 use base::prelude::*;
 use journal::record::{Append, Refusal, Snapshot};
-use journal::store::{Limits, Orphan, Store, Summary};
+use journal::store::{Copied, Limits, Orphan, Store, Summary};
 
 /// The number of parts, each behind a lock of its own.
 const PARTS: usize = 16;
@@ -38,6 +38,27 @@
         lock(part).append(now, append)
     }
 
+    /// See [`Store::witness`].
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn witness(&self, now: Millis, append: Append) -> Result<Offset, Refusal> {
+        let part = self.part(&append.key);
+        lock(part).witness(now, append)
+    }
+
+    /// The requests of which journals are held.
+    pub fn keys(&self) -> Vec<RequestKey> {
+        let all = |p: &Mutex<Store>| lock(p).keys().cloned().collect::<Vec<_>>();
+        self.parts.iter().flat_map(all).collect()
+    }
+
+    /// See [`Store::copy`].
+    pub fn copy(&self, key: &RequestKey) -> Option<Copied> {
+        lock(self.part(key)).copy(key)
+    }
+
     /// See [`Store::seal`].
     ///
     /// # Errors
--- /dev/null
+++ b/crates/gooseberry-router/tests/fleet/mod.rs
@@ -0,0 +1,439 @@
+//! A small deployment within one test: each process has a runtime of its own and can be killed.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use base::hash::key_digest;
+use base::prelude::*;
+use bytes::Bytes;
+use gooseberry_standin::faults::Switch;
+use gooseberry_standin::{engine, platform, sequence};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use platform_client::client::Platform;
+use platform_client::wire::{Expect, Host, HostKind, Op, Transact, Write};
+use profiles::document::Document;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use ::platform as platform_client;
+
+/// The longest wait for anything that must come true.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The time between looks.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// The time limit of one call.
+const CALL: Duration = Duration::from_secs(2);
+
+/// The key of the callers and that of the operators.
+pub(crate) const BEARER: &str = "caller-key";
+pub(crate) const OPERATOR: &str = "operator-key";
+
+/// The data centre.
+const CENTRE: &str = "vn-south-a";
+
+/// A process: a runtime that can be dropped at any moment.
+pub(crate) struct Process {
+    runtime: Mutex<Option<Runtime>>,
+    stop: CancellationToken,
+    ended: tokio::sync::watch::Receiver<Option<bool>>,
+}
+
+impl Process {
+    fn start<F>(run: impl FnOnce(CancellationToken) -> F) -> Self
+    where
+        F: Future<Output = bool> + Send + 'static,
+    {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let stop = CancellationToken::new();
+        let (sender, ended) = tokio::sync::watch::channel(None);
+        let running = run(stop.clone());
+        runtime.spawn(async move {
+            let is_good = running.await;
+            sender.send_replace(Some(is_good));
+        });
+        let runtime = Mutex::new(Some(runtime));
+        Self {
+            runtime,
+            stop,
+            ended,
+        }
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&self) {
+        let runtime = self.runtime.lock().expect("no panic").take();
+        if let Some(runtime) = runtime {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// What SIGTERM does.
+    pub(crate) fn terminate(&self) {
+        self.stop.cancel();
+    }
+
+    /// Whether the process has ended by itself, and with success.
+    pub(crate) fn has_ended(&self) -> bool {
+        *self.ended.borrow() == Some(true)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// All processes of one test.
+pub(crate) struct Fleet {
+    net: u8,
+    pub(crate) platform: Platform,
+    pub(crate) routers: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) engines: Vec<Process>,
+    _platform: Process,
+}
+
+impl Fleet {
+    /// Starts `hosts` entry hosts before `engines` engines; `net` is the test's own network.
+    pub(crate) async fn start(net: u8, hosts: u8, engines: u8) -> Self {
+        let addr = address(net, 0, 7020);
+        let mut settings = platform::Settings {
+            lag_ms: 0,
+            ..platform::Settings::default()
+        };
+        let entries = (0..hosts).map(|i| entry(net, i));
+        settings.hosts = entries
+            .chain((0..engines).map(|i| backend(net, i)))
+            .collect();
+        let listener = TcpListener::bind(addr).await.expect("a free address");
+        let listener = listener.into_std().expect("a listener");
+        let _platform = Process::start(move |stop| async move {
+            let listener = TcpListener::from_std(listener).expect("a listener");
+            platform::run(listener, settings, stop).await;
+            true
+        });
+        let platform = Platform { addr, limit: CALL };
+        let mut fleet = Self {
+            net,
+            platform,
+            routers: Vec::new(),
+            agents: Vec::new(),
+            engines: Vec::new(),
+            _platform,
+        };
+        fleet.configure(1).await;
+        for i in 0..engines {
+            let process = fleet.engine(i).await;
+            fleet.engines.push(process);
+        }
+        for i in 0..hosts {
+            let agent = fleet.agent(i);
+            fleet.agents.push(agent);
+            let router = fleet.router(i);
+            fleet.routers.push(router);
+        }
+        for i in 0..hosts {
+            fleet
+                .until("all members are seen", || async {
+                    let state = fleet.state(i).await;
+                    let alive = |list: &Value, field: &str| {
+                        let of = |v: &Value| {
+                            if field.is_empty() {
+                                v.clone()
+                            } else {
+                                v[field].clone()
+                            }
+                        };
+                        let all = list.as_array().cloned().unwrap_or_default();
+                        all.iter()
+                            .filter(|v| of(v)["alive"] == true && !of(v)["incarnation"].is_null())
+                            .count()
+                    };
+                    alive(&state["hosts"], "") == usize::from(hosts)
+                        && alive(&state["backends"], "seen") == usize::from(engines)
+                })
+                .await;
+        }
+        fleet
+    }
+
+    /// Puts a configuration of this version into the platform's table.
+    pub(crate) async fn configure(&self, version: u64) {
+        let document: Document = serde_json::from_value(json!({
+            "version": version,
+            "profiles": [{ "name": "drafts" }],
+            "services": [{
+                "name": "draft-model", "kind": "model", "profile": "drafts",
+                "models": engine::Settings::default().models, "checks_fence": true,
+            }],
+            "workspaces": [{ "name": "tests", "keys": [key_digest(BEARER)] }],
+        }))
+        .expect("a document");
+        let op = Op {
+            key: "config/head".to_owned(),
+            expect: Expect::Any,
+            write: Write::Put(serde_json::to_value(document).expect("JSON")),
+        };
+        let body = Transact { ops: vec![op] };
+        self.platform.transact(&body).await.expect("a write");
+    }
+
+    /// Starts an engine that gives a token each 10 ms.
+    pub(crate) async fn engine(&self, i: u8) -> Process {
+        let addr = address(self.net, 100 + i, 7010);
+        let listener = bind(addr).await;
+        let settings = engine::Settings {
+            listen: addr,
+            load_lag_ms: 0,
+            ..engine::Settings::default()
+        };
+        Process::start(move |stop| async move {
+            let listener = TcpListener::from_std(listener).expect("a listener");
+            engine::run(listener, settings, stop).await;
+            true
+        })
+    }
+
+    /// Starts the agent of a host.
+    pub(crate) fn agent(&self, i: u8) -> Process {
+        let settings = serde_json::from_value(json!({
+            "host": format!("entry-{i}"), "data_centre": CENTRE,
+            "listen": { "peers": address(self.net, 1 + i, 7004), "admin": address(self.net, 1 + i, 7005) },
+            "platform": self.platform.addr, "poll_ms": 200,
+            "operator_digest": key_digest(OPERATOR),
+        }))
+        .expect("settings");
+        Process::start(
+            |stop| async move { gooseberry_agent::run::run(settings, stop).await.is_ok() },
+        )
+    }
+
+    /// Starts the router of a host.
+    pub(crate) fn router(&self, i: u8) -> Process {
+        let at = |port| address(self.net, 1 + i, port);
+        let settings = serde_json::from_value(json!({
+            "host": format!("entry-{i}"), "data_centre": CENTRE,
+            "listen": { "callers": at(7001), "peers": at(7002), "admin": at(7003) },
+            "agent": at(7004), "platform": self.platform.addr,
+            "operator_digest": key_digest(OPERATOR),
+        }))
+        .expect("settings");
+        Process::start(
+            |stop| async move { gooseberry_router::run::run(settings, stop).await.is_ok() },
+        )
+    }
+
+    /// Puts a host or engine into the platform's list as leaving or not.
+    pub(crate) async fn list(&self, mut host: Host, leaving: bool) {
+        host.leaving = leaving;
+        self.platform.put_host(&host).await.expect("a list entry");
+    }
+
+    /// The entry of an engine in the list.
+    pub(crate) fn backend(&self, i: u8) -> Host {
+        backend(self.net, i)
+    }
+
+    /// Switches a fault of an engine.
+    pub(crate) async fn switch(&self, i: u8, fault: &Switch) {
+        let addr = address(self.net, 100 + i, 7010);
+        let done: Result<Value, _> =
+            web::client::call(addr, Method::POST, "/faults", fault, CALL).await;
+        done.expect("a switch");
+    }
+
+    /// The streams that an engine has started.
+    pub(crate) async fn streams(&self, i: u8) -> u64 {
+        let addr = address(self.net, 100 + i, 7010);
+        let stats: engine::Stats = web::client::get(addr, "/stats", CALL).await.expect("stats");
+        stats.streams
+    }
+
+    /// The state dump of a router, or null.
+    pub(crate) async fn state(&self, i: u8) -> Value {
+        let admin = address(self.net, 1 + i, 7003);
+        web::client::get(admin, "/v1/state", CALL)
+            .await
+            .unwrap_or_default()
+    }
+
+    /// One entry of a router's list of backend servers.
+    pub(crate) async fn seen(&self, host: u8, engine: u8) -> Value {
+        let state = self.state(host).await;
+        let name = format!("engine-{engine}");
+        let all = state["backends"].as_array().cloned().unwrap_or_default();
+        let found = all
+            .into_iter()
+            .find(|b| b["seen"]["backend"] == name.as_str());
+        found.map(|b| b["seen"].clone()).unwrap_or_default()
+    }
+
+    /// The host that witnesses the only request in flight at a router.
+    pub(crate) async fn witness(&self, host: u8) -> Option<u8> {
+        let state = self.state(host).await;
+        let name = state["requests"][0]["state"]["witness"]["witness"].clone();
+        let name = name.as_str()?;
+        name.strip_prefix("entry-")?.parse().ok()
+    }
+
+    /// `POST /v1/drain` on a router (port 7003) or an agent (port 7005); returns the status.
+    pub(crate) async fn drain(&self, host: u8, port: u16, key: Option<&str>) -> u16 {
+        let addr = address(self.net, 1 + host, port);
+        let mut request = web::client::json_request(addr, Method::POST, "/v1/drain", &());
+        if let Some(key) = key {
+            let value = format!("Bearer {key}").parse().expect("a header");
+            request.headers_mut().insert("authorization", value);
+        }
+        let answer = web::client::send(addr, request, CALL)
+            .await
+            .expect("an answer");
+        answer.status().as_u16()
+    }
+
+    /// Asks for an output through a host.
+    pub(crate) async fn ask(&self, host: u8, key: &str, tokens: u64) -> Answer {
+        let mut answer = Answer::default();
+        self.go_on(host, key, tokens, &mut answer).await;
+        answer
+    }
+
+    /// Asks for the rest of an output through a host; what came before a break is kept.
+    pub(crate) async fn go_on(&self, host: u8, key: &str, tokens: u64, answer: &mut Answer) {
+        let addr = address(self.net, 1 + host, 7001);
+        let request = request(addr, key, tokens, answer);
+        let Ok(mut response) = web::client::send(addr, request, CALL).await else {
+            return;
+        };
+        answer.status = response.status().as_u16();
+        let mut text = String::new();
+        while let Some(Ok(frame)) = response.body_mut().frame().await {
+            let data = frame.into_data().unwrap_or_default();
+            text.push_str(&String::from_utf8_lossy(&data));
+            while let Some((event, rest)) = text.split_once("\n\n") {
+                answer.take(event);
+                text = rest.to_owned();
+            }
+        }
+    }
+
+    /// Waits until something holds.
+    pub(crate) async fn until<F>(&self, what: &str, mut holds: impl FnMut() -> F)
+    where
+        F: Future<Output = bool>,
+    {
+        let deadline = Instant::now() + PATIENCE;
+        while !holds().await {
+            assert!(Instant::now() < deadline, "in vain: {what}");
+            sleep(LOOK).await;
+        }
+    }
+}
+
+/// What a caller has of an answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) text: String,
+    pub(crate) is_done: bool,
+    pub(crate) restarts: u64,
+    id: Option<String>,
+}
+
+impl Answer {
+    /// Takes in one event.
+    fn take(&mut self, event: &str) {
+        let field = |name: &str| event.lines().find_map(|l| l.strip_prefix(name));
+        if field("event: ") == Some("restart") {
+            self.restarts += 1;
+            self.text.clear();
+        }
+        let Some(data) = field("data: ") else { return };
+        self.is_done |= data == "[DONE]";
+        if let Some(id) = field("id: ") {
+            self.id = Some(id.to_owned());
+        }
+        let body: Value = serde_json::from_str(data).unwrap_or_default();
+        self.text += body["choices"][0]["text"].as_str().unwrap_or_default();
+    }
+
+    /// Whether it is the whole output of one generation.
+    pub(crate) fn is_whole(&self, key: &str, tokens: u64) -> bool {
+        let (length, _) = sequence::length(&prompt(key), tokens);
+        self.is_done && sequence::check(&prompt(key), &self.text) == Ok(length)
+    }
+}
+
+fn request(addr: SocketAddr, key: &str, tokens: u64, had: &Answer) -> Request<Full<Bytes>> {
+    let body = json!({
+        "model": "draft-model", "prompt": prompt(key), "max_tokens": tokens, "stream": true,
+    });
+    let mut request = web::client::json_request(addr, Method::POST, "/v1/completions", &body);
+    let mut put = |name: &'static str, value: &str| {
+        let value = value.parse().expect("a header");
+        request.headers_mut().insert(name, value);
+    };
+    put("authorization", &format!("Bearer {BEARER}"));
+    put("idempotency-key", key);
+    if let Some(id) = &had.id {
+        put("last-event-id", id);
+    }
+    request
+}
+
+fn prompt(key: &str) -> String {
+    format!("Scene {key}: break the script down.")
+}
+
+/// A listener on an address that a process has just left, perhaps.
+async fn bind(addr: SocketAddr) -> std::net::TcpListener {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener.into_std().expect("a listener"),
+            Err(e) => assert!(Instant::now() < deadline, "{addr}: {e}"),
+        }
+        sleep(LOOK).await;
+    }
+}
+
+fn entry(net: u8, i: u8) -> Host {
+    Host {
+        name: format!("entry-{i}"),
+        data_centre: DataCentre::from(CENTRE),
+        kind: HostKind::Entry {
+            router: address(net, 1 + i, 7002),
+            agent: address(net, 1 + i, 7004),
+        },
+        leaving: false,
+    }
+}
+
+fn backend(net: u8, i: u8) -> Host {
+    Host {
+        name: format!("engine-{i}"),
+        data_centre: DataCentre::from(CENTRE),
+        kind: HostKind::Backend {
+            service: ServiceName::from("draft-model"),
+            addr: address(net, 100 + i, 7010),
+        },
+        leaving: false,
+    }
+}
+
+/// An address of this run of the tests.
+fn address(net: u8, host: u8, port: u16) -> SocketAddr {
+    let run = u8::try_from(std::process::id() % 200).unwrap_or(0) + 20;
+    SocketAddr::from(([127, run, net, host + 1], port))
+}
--- /dev/null
+++ b/crates/gooseberry-router/tests/server_leaves.rs
@@ -0,0 +1,63 @@
+//! A backend server that leaves gets no new work, whichever source says so.
+
+#[expect(dead_code, reason = "each test uses a part of the deployment")]
+mod fleet;
+
+use fleet::Fleet;
+use gooseberry_standin::faults::Switch;
+
+/// Asks so many times through both hosts; returns the streams started on engine 0 meanwhile.
+async fn streams_on_first(fleet: &Fleet, name: &str) -> u64 {
+    let before = fleet.streams(0).await;
+    for i in 0..12 {
+        let key = format!("{name}-{i}");
+        let answer = fleet.ask(i % 2, &key, 5).await;
+        assert!(answer.is_whole(&key, 5), "{answer:?}");
+    }
+    fleet.streams(0).await - before
+}
+
+async fn is_known(fleet: &Fleet, leaving: bool) {
+    for host in 0..2 {
+        let seen = || async {
+            let seen = fleet.seen(host, 0).await;
+            seen["leaving"] == leaving && seen["alive"] == true
+        };
+        fleet.until("both routers know", seen).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn list_and_report_and_new_life() {
+    let mut fleet = Fleet::start(2, 2, 2).await;
+    assert!(streams_on_first(&fleet, "before").await > 0);
+
+    // The list says so and the engine denies it.
+    fleet.list(fleet.backend(0), true).await;
+    is_known(&fleet, true).await;
+    assert_eq!(streams_on_first(&fleet, "listed").await, 0);
+
+    // The list takes it back, and the engine goes on leaving.
+    fleet.list(fleet.backend(0), false).await;
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    assert_eq!(streams_on_first(&fleet, "denied").await, 0);
+
+    // A new life under the same address takes work again.
+    let old = fleet.seen(0, 0).await["incarnation"].clone();
+    fleet.engines[0].kill();
+    fleet.engines[0] = fleet.engine(0).await;
+    is_known(&fleet, false).await;
+    assert_ne!(fleet.seen(0, 0).await["incarnation"], old);
+    assert!(streams_on_first(&fleet, "again").await > 0);
+
+    // The engine says so, and takes it back.
+    let leaving = |word| Switch {
+        leaving: Some(word),
+        ..Switch::default()
+    };
+    fleet.switch(0, &leaving(true)).await;
+    is_known(&fleet, true).await;
+    fleet.switch(0, &leaving(false)).await;
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    assert_eq!(streams_on_first(&fleet, "reported").await, 0);
+}
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -76,6 +76,17 @@
     pub stream: Option<String>,
 }
 
+/// A journal on its way to another host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copied {
+    /// The whole journal, as one append under its epoch.
+    pub append: Append,
+    /// The ownership below which appends are refused, if that is higher than the journal's own.
+    pub seal: Option<Epoch>,
+    /// Whether the caller has the whole answer.
+    pub closed: bool,
+}
+
 /// All journals of a host.
 #[derive(Debug, Default)]
 pub struct Store {
@@ -114,6 +125,8 @@
             return Err(Refusal::Leaving);
         }
         let held = known.filter(|_| !is_new).map_or(0, |e| e.tokens.len());
+        // A copy that another host has handed over may be older than what is held.
+        let is_old = append.from.0 + (append.tokens.len() as u64) < held as u64;
         if append.from.0 > held as u64 {
             return Err(Refusal::Gap(Offset(held as u64)));
         }
@@ -134,7 +147,7 @@
         entry.fence = append.epoch;
         entry.epoch = append.epoch;
         entry.touched = now;
-        if let Some(header) = append.header {
+        if let Some(header) = append.header.filter(|_| !is_old) {
             entry.header = header;
         }
         entry
@@ -146,6 +159,48 @@
         Ok(Offset(entry.tokens.len() as u64))
     }
 
+    /// Adds tokens of another host's request.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::append`]; `Leaving` for any append once the host leaves, so that the owner
+    /// chooses another witness while this one can still be asked.
+    pub fn witness(&mut self, now: Millis, append: Append) -> Result<Offset, Refusal> {
+        let fence = self.fence(&append.key).unwrap_or_default();
+        if self.leaving && append.epoch >= fence {
+            return Err(Refusal::Leaving);
+        }
+        self.append(now, append)
+    }
+
+    /// The requests of which journals are held.
+    pub fn keys(&self) -> impl Iterator<Item = &RequestKey> {
+        self.entries.iter().map(|(key, _)| key)
+    }
+
+    /// A journal for another host to hold; `None` if there is nothing to hand over.
+    pub fn copy(&self, key: &RequestKey) -> Option<Copied> {
+        let entry = self.entries.get(key)?;
+        if entry.header.lineage.is_empty() {
+            return None;
+        }
+        let append = Append {
+            key: key.clone(),
+            epoch: entry.epoch,
+            header: Some(entry.header.clone()),
+            from: Offset(0),
+            tokens: entry.tokens.clone(),
+            finish: entry.finish,
+        };
+        let seal = (entry.fence > entry.epoch).then_some(entry.fence);
+        let closed = entry.closed;
+        Some(Copied {
+            append,
+            seal,
+            closed,
+        })
+    }
+
     /// Refuses appends below `epoch` from now on, and returns the journal as it stands.
     ///
     /// A key without a journal is sealed too, so that an owner that was paused cannot start one.
--- a/crates/membership/src/backends.rs
+++ b/crates/membership/src/backends.rs
@@ -12,7 +12,7 @@
 pub const WATCHERS: usize = 2;
 
 /// A change of load by this part of the slots is told to others.
-const LOAD_PART: u64 = 16;
+const LOAD_PART: u64 = 8;
 
 /// What a backend server answers when it is asked for its load.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
--- a/crates/membership/src/hosts.rs
+++ b/crates/membership/src/hosts.rs
@@ -158,6 +158,8 @@
     challenge: u64,
     /// When a beat was last sent to it.
     pub beaten: Option<Millis>,
+    /// Whether a beat is due now, whenever the last one was sent.
+    pub is_due: bool,
     /// The number of the change by which this agent's belief came about.
     pub changed: u64,
 }
@@ -176,6 +178,7 @@
             acked: 0,
             challenge: 0,
             beaten: None,
+            is_due: false,
             changed: 0,
         }
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -45,6 +45,8 @@
     pub host: HostId,
     /// Where it is reached.
     pub place: Place,
+    /// Whether the host list has confirmed where it is reached.
+    pub is_placed: bool,
     /// The life of this agent, and whether the host takes no new work.
     pub life: Life,
 }
@@ -53,7 +55,12 @@
     /// A host whose agent starts now.
     pub fn new(now: Millis, host: HostId, place: Place, incarnation: Incarnation) -> Self {
         let life = Life::newborn(now, incarnation);
-        Self { host, place, life }
+        Self {
+            host,
+            place,
+            is_placed: false,
+            life,
+        }
     }
 
     /// The life of this agent.
@@ -121,10 +128,11 @@
         if !self.own.life.leaving {
             self.own.life.leaving = true;
             self.touch();
+            self.hurry();
         }
     }
 
-    /// Takes in the host list.
+    /// Takes in the host list; both parts are sorted by name.
     pub fn listed(&mut self, now: Millis, hosts: &[ListedHost], backends: &[ListedBackend]) {
         for listed in hosts {
             self.list_host(now, listed);
@@ -132,7 +140,7 @@
         let here = self.own.place.data_centre.clone();
         let count = self.hosts.len();
         self.hosts.retain(|id, host| {
-            host.is_listed = hosts.iter().any(|l| l.host == *id);
+            host.is_listed = hosts.binary_search_by(|l| l.host.cmp(id)).is_ok();
             // A host that beats is there, whatever the lagging list says.
             let is_heard = !matches!(host.standing, Standing::Unknown | Standing::Dead);
             host.is_listed || (is_heard && host.place.data_centre == here)
@@ -143,7 +151,7 @@
         for listed in backends {
             self.list_backend(now, listed);
         }
-        let is_listed = |id: &BackendId| backends.iter().any(|l| l.backend == *id);
+        let is_listed = |id: &BackendId| backends.binary_search_by(|l| l.backend.cmp(id)).is_ok();
         let count = self.backends.len();
         self.backends.retain(|id, _| is_listed(id));
         if self.backends.len() != count {
@@ -202,7 +210,7 @@
             echo: peer.map_or(0, |p| p.seen),
             whole: acked == 0,
             leaving: self.own.life.leaving,
-            place: (acked == 0).then(|| self.own.place.clone()),
+            place: (acked == 0 && self.own.is_placed).then(|| self.own.place.clone()),
             ..Beat::default()
         };
         beat.hosts = self.host_notes(to, acked, is_far);
@@ -269,20 +277,27 @@
         let Some(known) = self.backends.get_mut(backend) else {
             return;
         };
+        let was_leaving = known.life.leaving;
         let changed = match report {
             Some(report) => known.answered(now, &self.own.host, report),
             None => known.missed(now, &self.own.host, self.policy.dead_polls),
         };
+        if known.life.leaving && !was_leaving {
+            self.hurry();
+        }
         self.touch_backend(backend, changed);
     }
 
     fn list_host(&mut self, now: Millis, listed: &ListedHost) {
         if listed.host == self.own.host {
+            self.own.place.router = listed.place.router;
+            self.own.is_placed = true;
             let before = self.own.life.leaving;
             let lag = self.policy.list_lag;
             self.own.life.list(now, listed.leaving, lag);
             if self.own.life.leaving != before {
                 self.touch();
+                self.hurry();
             }
             return;
         }
@@ -360,14 +375,15 @@
                 continue;
             }
             let hears = host.standing == Standing::Alive && now.since(host.heard) < suspect;
-            if is_near && hears && *id < self.own.host {
+            if is_near && hears && *id < self.own.host && !host.is_due {
                 continue;
             }
             let is_slow = !is_near || host.standing == Standing::Dead;
             let wait = if is_slow { times(period, SLOW) } else { period };
-            if host.beaten.is_some_and(|at| now.since(at) < wait) {
+            if !host.is_due && host.beaten.is_some_and(|at| now.since(at) < wait) {
                 continue;
             }
+            host.is_due = false;
             host.beaten = Some(now);
             out.push(Action::Beat {
                 host: id.clone(),
@@ -530,6 +546,14 @@
         if is_near { period } else { times(period, SLOW) }
     }
 
+    /// Has the next beats go out at once, as something leaves and others must hear of it soon.
+    fn hurry(&mut self) {
+        let here = self.own.place.data_centre.clone();
+        for (_, host) in self.hosts.iter_mut() {
+            host.is_due |= host.place.data_centre == here && host.standing != Standing::Dead;
+        }
+    }
+
     /// Numbers a change that a router should hear of.
     fn touch(&mut self) {
         self.count += 1;
--- a/crates/membership/src/policy.rs
+++ b/crates/membership/src/policy.rs
@@ -29,9 +29,9 @@
     fn default() -> Self {
         Self {
             beat: Millis(500),
-            beat_each: Millis(40),
+            beat_each: Millis(70),
             poll: Millis(250),
-            poll_each: Millis(60),
+            poll_each: Millis(100),
             suspect_beats: 3,
             dead_beats: 8,
             dead_polls: 3,
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use membership::Beat;
 use profiles::document::Document;
 use serde::{Deserialize, Serialize};
 
@@ -82,4 +83,10 @@
     ///
     /// The document is left out if the asker holds `version`.
     async fn view(revision: u64, version: Version, wait_ms: u64) -> View;
+
+    /// A heartbeat, answered by one.
+    async fn heartbeat(beat: Beat) -> Beat;
+
+    /// The host of this agent takes no new work from now on.
+    async fn leave();
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use journal::record::{Append, Refusal};
+use membership::Beat;
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
 use thiserror::Error;
@@ -209,4 +210,24 @@
         })
         .await
     }
+
+    /// Sends a heartbeat and returns that of the peer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn heartbeat(&self, beat: Beat, limit: Duration) -> Result<Beat, LinkError> {
+        self.call(limit, |c, ctx| async move { c.heartbeat(ctx, beat).await })
+            .await
+    }
+
+    /// Tells an agent that its host takes no new work.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn leave(&self, limit: Duration) -> Result<(), LinkError> {
+        self.call(limit, |c, ctx| async move { c.leave(ctx).await })
+            .await
+    }
 }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use futures_util::StreamExt;
 use journal::record::{Append, Refusal};
+use membership::Beat;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -52,16 +53,30 @@
 
 /// What an agent does with the calls of routers and other agents.
 #[derive(Clone)]
-pub struct AgentServer<V> {
+pub struct AgentServer<V, H, L> {
     /// Answers with the view.
     pub view: V,
+    /// Answers a heartbeat.
+    pub heartbeat: H,
+    /// Has the host take no new work.
+    pub leave: L,
 }
 
-impl<V, F> AgentPeer for AgentServer<V>
+impl<V, F, H, L> AgentPeer for AgentServer<V, H, L>
 where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
+    H: Fn(Beat) -> Beat + Clone + Send + Sync + 'static,
+    L: Fn() + Clone + Send + Sync + 'static,
 {
+    async fn heartbeat(self, _: Context, beat: Beat) -> Beat {
+        (self.heartbeat)(beat)
+    }
+
+    async fn leave(self, _: Context) {
+        (self.leave)();
+    }
+
     async fn view(self, _: Context, revision: u64, version: Version, wait_ms: u64) -> View {
         (self.view)(revision, version, Millis(wait_ms)).await
     }
@@ -88,10 +103,15 @@
 }
 
 /// Serves the calls that an agent takes until `stop` is cancelled.
-pub async fn agent<V, F>(listener: TcpListener, stop: CancellationToken, server: AgentServer<V>)
-where
+pub async fn agent<V, F, H, L>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    server: AgentServer<V, H, L>,
+) where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
+    H: Fn(Beat) -> Beat + Clone + Send + Sync + 'static,
+    L: Fn() + Clone + Send + Sync + 'static,
 {
     accept(listener, stop, |stream| {
         let transport = tarpc::serde_transport::new(stream, MessagePack::default());
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -31,6 +31,10 @@
     /// The time between two looks at a backend server's load, in milliseconds.
     #[serde(default = "default_load_ms")]
     pub load_ms: u64,
+    /// The digest of the operators' key, see [`base::hash::key_digest`]; without one no operator is
+    /// admitted.
+    #[serde(default)]
+    pub operator_digest: Option<String>,
     /// The log.
     #[serde(default)]
     pub log: Log,
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -33,6 +33,10 @@
     /// How long a planned stop waits for requests in flight, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// The digest of the operators' key, see [`base::hash::key_digest`]; without one no operator is
+    /// admitted.
+    #[serde(default)]
+    pub operator_digest: Option<String>,
     /// The log.
     #[serde(default)]
     pub log: Log,
--- a/crates/telemetry/src/admin.rs
+++ b/crates/telemetry/src/admin.rs
@@ -1,7 +1,9 @@
 //! The operators' entry of a daemon: its state and its readiness.
 
+use base::hash::key_digest;
 use base::prelude::*;
 use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
 use serde_json::Value;
@@ -43,6 +45,34 @@
     }
 }
 
+/// The refusal of a request whose operator's key is missing or wrong; it is logged.
+///
+/// `digest` is that of the key, from the settings of the process on `host`.
+pub fn refusal(
+    host: &HostId,
+    digest: Option<&str>,
+    request: &Request<Incoming>,
+) -> Option<Response> {
+    let bearer = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.strip_prefix("Bearer "));
+    let message = match (digest, bearer) {
+        (None, _) => "there is no `operator_digest` in the settings; write one to admit operators",
+        (_, None) => "no operator's key; send `Authorization: Bearer KEY`",
+        (Some(digest), Some(key)) if key_digest(key) == digest => return None,
+        _ => "the operator's key is wrong; use the one whose digest stands in the settings",
+    };
+    let path = request.uri().path();
+    log::warn!("operator refused host={host} path={path} cause=\"{message}\"");
+    let error = AdminError {
+        kind: "unauthorized",
+        message: message.to_owned(),
+    };
+    Some(reply::json(StatusCode::UNAUTHORIZED, &error))
+}
+
 /// The answer to a request that the operators' entry does not know.
 pub fn not_found(request: &Request<Incoming>) -> Response {
     let error = AdminError {
