--- a/crates/gooseberry-agent/src/admin.rs
+++ b/crates/gooseberry-agent/src/admin.rs
@@ -1,10 +1,12 @@
 //! The operators' entry of an agent.
 
-use hyper::Request;
 use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use telemetry::admin::{Readiness, answer, not_found};
-use web::Response;
+use telemetry::admin::{Readiness, answer, not_found, refusal};
+use web::{Response, reply};
+
+use membership::Members;
 
 use crate::operate;
 use crate::shared::{Agent, SharedAgent};
@@ -15,16 +17,37 @@
         Ok(response) => return response,
         Err(other) => other,
     };
+    if request.method() == Method::POST && request.uri().path() == "/v1/drain" {
+        return drain(&agent, &request);
+    }
     let answered = answer(&request, || state(&agent), || readiness(&agent));
     answered.unwrap_or_else(|| not_found(&request))
 }
 
+/// Has the host take no new work, if an operator asks for it.
+fn drain(agent: &Agent, request: &Request<Incoming>) -> Response {
+    let settings = &agent.settings;
+    let digest = settings.operator_digest.as_deref();
+    if let Some(refused) = refusal(&settings.host, digest, request) {
+        return refused;
+    }
+    log::info!("drain asked for by an operator host={}", settings.host);
+    agent.members(Members::leave);
+    reply::json(
+        StatusCode::ACCEPTED,
+        &json!({ "host": settings.host, "leaving": true }),
+    )
+}
+
 /// Whether the agent can serve a router.
 fn readiness(agent: &Agent) -> Readiness {
     let version = agent.version();
-    let ready = version.0 > 0;
+    let is_leaving = agent.is_leaving();
+    let ready = version.0 > 0 && !is_leaving;
     let reason = if ready {
         String::new()
+    } else if is_leaving {
+        "the host is leaving; use another".to_owned()
     } else {
         format!("no configuration: {}", agent.spread.lack())
     };
@@ -47,5 +70,6 @@
         "is_fresh": agent.spread.is_fresh(),
         "adoptions": agent.spread.adoptions(),
         "traffic": base::traffic::total(),
+        "members": agent.members(|m| json!(m)),
     })
 }
--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -3,6 +3,9 @@
 
 pub mod admin;
 pub mod commit;
+pub mod drain;
+pub mod heartbeats;
+pub mod members;
 pub mod operate;
 pub mod run;
 pub mod shared;
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -306,6 +306,7 @@
         journal: journal::store::Limits::default(),
         claims: Default::default(),
         drain_ms: 60_000,
+        operator_digest: None,
         log: log(),
         statsd: None,
     }
--- a/crates/gooseberry-router/src/lib.rs
+++ b/crates/gooseberry-router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod completions;
 pub mod config;
 pub mod context;
+pub mod drain;
 pub mod drive;
 pub mod errors;
 pub mod http;
--- a/crates/gooseberry-router/tests/site/mod.rs
+++ b/crates/gooseberry-router/tests/site/mod.rs
@@ -110,6 +110,7 @@
             hosts: vec![host(i)],
             backends: backends.iter().enumerate().map(seen).collect(),
             drain: false,
+            agent: None,
         });
         let (listener, addr) = listen().await;
         tokio::spawn(claims::write(router.clone()));
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use membership::Beat;
 use profiles::document::Document;
 use profiles::held::News;
 use serde::{Deserialize, Serialize};
@@ -124,4 +125,9 @@
 
     /// The agent itself.
     async fn about() -> About;
+    /// A heartbeat, answered by one.
+    async fn heartbeat(beat: Beat) -> Beat;
+
+    /// The host of this agent takes no new work from now on.
+    async fn leave();
 }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use futures_util::StreamExt;
 use journal::record::{Append, Refusal};
+use membership::Beat;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
@@ -51,22 +52,28 @@
 
 /// What an agent does with the calls of routers and other agents.
 #[derive(Clone)]
-pub struct AgentServer<V, C, A> {
+pub struct AgentServer<V, C, A, H, L> {
     /// Answers with the view.
     pub view: V,
     /// Answers with what is new in the configuration.
     pub changes: C,
     /// Answers with the agent itself.
     pub about: A,
+    /// Answers a heartbeat.
+    pub heartbeat: H,
+    /// Has the host take no new work.
+    pub leave: L,
 }
 
-impl<V, F, C, G, A> AgentPeer for AgentServer<V, C, A>
+impl<V, F, C, G, A, H, L> AgentPeer for AgentServer<V, C, A, H, L>
 where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
     C: Fn(Ask) -> G + Clone + Send + Sync + 'static,
     G: Future<Output = Changes> + Send + 'static,
     A: Fn() -> About + Clone + Send + Sync + 'static,
+    H: Fn(Beat) -> Beat + Clone + Send + Sync + 'static,
+    L: Fn() + Clone + Send + Sync + 'static,
 {
     async fn changes(self, _: Context, ask: Ask) -> Changes {
         (self.changes)(ask).await
@@ -76,6 +83,14 @@
         (self.about)()
     }
 
+    async fn heartbeat(self, _: Context, beat: Beat) -> Beat {
+        (self.heartbeat)(beat)
+    }
+
+    async fn leave(self, _: Context) {
+        (self.leave)();
+    }
+
     async fn view(self, _: Context, revision: u64, version: Version, wait_ms: u64) -> View {
         (self.view)(revision, version, Millis(wait_ms)).await
     }
@@ -102,16 +117,18 @@
 }
 
 /// Serves the calls that an agent takes until `stop` is cancelled.
-pub async fn agent<V, F, C, G, A>(
+pub async fn agent<V, F, C, G, A, H, L>(
     listener: TcpListener,
     stop: CancellationToken,
-    server: AgentServer<V, C, A>,
+    server: AgentServer<V, C, A, H, L>,
 ) where
     V: Fn(u64, Version, Millis) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = View> + Send + 'static,
     C: Fn(Ask) -> G + Clone + Send + Sync + 'static,
     G: Future<Output = Changes> + Send + 'static,
     A: Fn() -> About + Clone + Send + Sync + 'static,
+    H: Fn(Beat) -> Beat + Clone + Send + Sync + 'static,
+    L: Fn() + Clone + Send + Sync + 'static,
 {
     let end = stop.clone();
     accept(listener, stop, |stream| {
