--- a/crates/gooseberry-router/tests/fleet/mod.rs
+++ b/crates/gooseberry-router/tests/fleet/mod.rs
@@ -12,7 +12,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
 use platform_client::client::Platform;
-use platform_client::wire::{Expect, Host, HostKind, Op, Transact, Write};
+use platform_client::config::commit_ops;
+use platform_client::wire::{Host, HostKind};
+use profiles::change::{Revision, diff};
 use profiles::document::Document;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -173,7 +175,7 @@
     pub(crate) async fn configure(&self, version: u64) {
         let document: Document = serde_json::from_value(json!({
             "version": version,
-            "profiles": [{ "name": "drafts" }],
+            "profiles": [{ "name": "drafts", "priority": version }],
             "services": [{
                 "name": "draft-model", "kind": "model", "profile": "drafts",
                 "models": engine::Settings::default().models, "checks_fence": true,
@@ -181,12 +183,13 @@
             "workspaces": [{ "name": "tests", "keys": [key_digest(BEARER)] }],
         }))
         .expect("a document");
-        let op = Op {
-            key: "config/head".to_owned(),
-            expect: Expect::Any,
-            write: Write::Put(serde_json::to_value(document).expect("JSON")),
+        let head = self.platform.head().await.expect("a read");
+        let revision = Revision {
+            version: Version(version),
+            operation: OperationId(format!("change-{version}")),
+            changes: diff(&Document::default(), &document),
         };
-        let body = Transact { ops: vec![op] };
+        let body = commit_ops(&head, &revision);
         self.platform.transact(&body).await.expect("a write");
     }
 
