balance, router: each router takes its part of the places that are free

Cause: eight routers with reports 0.2 to 0.5 s old all placed prompts of one prefix at its home; engines with 4 places queued up to 8 requests, and first tokens came after the deadline though the router's queue had let them go in time.

Ruled out: two homes for each prefix (twice the cold misses, same queues); a wider bound on the affinity (longer queues).

Change: a router places at a server up to an equal part of the places that its report shows as free, a part of a place drawn at random, and the places that its own requests have left since; a prefix beyond that goes to the next server in its order. The places that reports show as free are divided anew over the routers, beyond each one's fixed part. The time kept for the first token is the smoothed mean with four deviations, of the slower servers.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -14,9 +14,6 @@
 /// First tokens within this time are never slow, in milliseconds.
 const SLOW_FLOOR: u64 = 100;
 
-/// The servers that keep the prefix of one prompt when no cache event tells of any.
-const HOMES: usize = 2;
-
 /// The load up to which a server with the prefix is used, in percent of the mean; half of its
 /// places are always used.
 const AFFINITY_PERCENT: u64 = 125;
@@ -33,7 +30,7 @@
     /// The requests that this router has running there.
     pub own: u64,
     /// Those of them that were placed after the last report, less those that have ended since.
-    pub since: u64,
+    pub since: i64,
     /// The requests that it last reported as running or waiting.
     pub reported: u64,
     /// The age of that report.
@@ -99,7 +96,7 @@
     let spared = keep(&ramped, |i| {
         ask.resumes.is_none_or(|n| servers[i].resumes < n)
     });
-    let placed = nearest(servers, &spared);
+    let placed = nearest(servers, &spared, ask);
     with_prefix(servers, &placed, ask).or_else(|| two_choices(servers, &placed, ask))
 }
 
@@ -128,26 +125,45 @@
 }
 
 /// The servers of the most preferred data centre with room; all if none has room.
-fn nearest(servers: &[Server<'_>], among: &[usize]) -> Vec<usize> {
-    let with_room = keep(among, |i| has_room(&servers[i]));
+fn nearest(servers: &[Server<'_>], among: &[usize], ask: &Ask<'_>) -> Vec<usize> {
+    let with_room = keep(among, |i| has_room(&servers[i], ask, i));
     let first = with_room.iter().map(|i| servers[*i].rank).min();
     keep(&with_room, |i| Some(servers[i].rank) == first)
 }
 
-/// Whether a server runs fewer requests than it can, as far as is known.
-fn has_room(server: &Server<'_>) -> bool {
-    let known = if server.age >= STALE {
-        server.own
-    } else {
-        (server.reported + server.since).max(server.own)
-    };
-    server.slots == 0 || known < server.slots
+/// Whether this router may place a request at a server without making it wait there.
+///
+/// Each router takes an equal part of the places that the report shows as free, and those that its
+/// own requests have left since; a part of a place is drawn at random.
+fn has_room(server: &Server<'_>, ask: &Ask<'_>, i: usize) -> bool {
+    if server.slots == 0 {
+        return true;
+    }
+    if known(server) >= server.slots {
+        return false;
+    }
+    let routers = ask.routers.max(1);
+    if server.since < 0 || server.age >= STALE {
+        return true;
+    }
+    let free = server.slots.saturating_sub(server.reported);
+    let rest = u64::from(turn(ask, i) % routers < free % routers);
+    server.since.unsigned_abs() < free / routers + rest
+}
+
+/// The load that was reported, with what this router has changed since.
+fn known(server: &Server<'_>) -> u64 {
+    if server.age >= STALE {
+        return server.own;
+    }
+    let counted = server.reported.saturating_add_signed(server.since);
+    counted.max(server.own)
 }
 
 /// A server that holds the prefix, unless it is loaded well above the others.
 ///
-/// Without a cache event for any of the blocks, all routers agree on the same few servers and on
-/// the order of those that take over when these are loaded.
+/// Without a cache event for any of the blocks, all routers agree on the same server and on
+/// the order of those that take over when it is loaded.
 fn with_prefix(servers: &[Server<'_>], among: &[usize], ask: &Ask<'_>) -> Option<usize> {
     let prefix = ask.prefix?;
     let most = among.iter().map(|i| servers[*i].cached).max()?;
@@ -155,17 +171,14 @@
     let bound = total * AFFINITY_PERCENT / 100 / among.len() as u64 + 1;
     let within = |i: &usize| {
         let server = &servers[*i];
-        load(server, ask) <= bound.max(server.slots / 2) && has_room(server)
+        load(server, ask) <= bound.max(server.slots / 2) && has_room(server, ask, *i)
     };
     let order = |i: &usize| (load(&servers[*i], ask), turn(ask, *i));
     if most * 2 >= ask.blocks && most > 0 {
         let holders = keep(among, |i| servers[i].cached * 2 >= ask.blocks);
         return holders.into_iter().filter(within).min_by_key(order);
     }
-    let homes = homes(servers, among, prefix);
-    let (first, rest) = homes.split_at(HOMES.min(homes.len()));
-    let home = first.iter().copied().filter(within).min_by_key(order);
-    home.or_else(|| rest.iter().copied().find(within))
+    homes(servers, among, prefix).into_iter().find(within)
 }
 
 /// The servers in the order in which they are to hold a prefix, by rendezvous hashing.
@@ -193,13 +206,10 @@
     if server.age >= STALE {
         return server.own * routers;
     }
-    let unseen = server.since * routers;
-    let unseen = if server.slots > 0 {
-        unseen.min(server.slots)
-    } else {
-        unseen
-    };
-    (server.reported + unseen).max(server.own)
+    // Others are likely to place as this router does; that theirs have ended cannot be known.
+    let placed = server.since.max(0).unsigned_abs();
+    let others = (placed * (routers - 1)).min(server.slots);
+    known(server) + others
 }
 
 /// A number that orders servers differently for each request.
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -21,6 +21,9 @@
 /// The weight of the newest measurement of the time to the first token, as a divisor.
 const SMOOTHING: u64 = 4;
 
+/// The deviations above the mean within which almost every first token comes.
+const SPREADS: u64 = 4;
+
 /// After this time without a measurement the last one counts half.
 const HALF_LIFE: Millis = Millis(5_000);
 
@@ -29,6 +32,8 @@
 pub struct Health {
     /// The smoothed time to the first token in milliseconds; 0 if not measured.
     pub first_ms: u64,
+    /// The smoothed deviation from it in milliseconds.
+    pub spread_ms: u64,
     /// When it was last measured.
     pub measured: Millis,
     /// The failures in a row.
@@ -43,10 +48,14 @@
     /// A first token came, so long after the request was placed.
     pub fn first_token(&mut self, now: Millis, took: Millis) {
         let held = self.latency(now);
-        self.first_ms = match held {
-            0 => took.0.max(1),
-            held => (held * (SMOOTHING - 1) + took.0) / SMOOTHING,
-        };
+        if held == 0 {
+            self.first_ms = took.0.max(1);
+            self.spread_ms = took.0 / 2;
+        } else {
+            let off = held.abs_diff(took.0);
+            self.first_ms = (held * (SMOOTHING - 1) + took.0) / SMOOTHING;
+            self.spread_ms = (self.spread_ms * (SMOOTHING - 1) + off) / SMOOTHING;
+        }
         self.measured = now;
         self.failures = 0;
     }
@@ -85,6 +94,14 @@
         grown.clamp(RAMP_FLOOR, 1_000)
     }
 
+    /// The time within which almost every first token comes; 0 if not measured.
+    pub fn bound(&self, now: Millis) -> u64 {
+        match self.latency(now) {
+            0 => 0,
+            latency => latency + SPREADS * self.spread_ms,
+        }
+    }
+
     /// The time to the first token, less the longer ago it was measured.
     pub fn latency(&self, now: Millis) -> u64 {
         let halvings = now.since(self.measured).0 / HALF_LIFE.0;
--- a/crates/balance/tests/server_choice.rs
+++ b/crates/balance/tests/server_choice.rs
@@ -43,7 +43,7 @@
                 is_usable: true,
                 rank: n.rank,
                 own: n.own[router],
-                since: n.own[router].saturating_sub(n.at_report[router]),
+                since: n.own[router] as i64 - n.at_report[router] as i64,
                 reported: n.reported,
                 age: n.age,
                 slots: n.slots,
--- a/crates/gooseberry-router/src/admit/bounds.rs
+++ b/crates/gooseberry-router/src/admit/bounds.rs
@@ -39,27 +39,36 @@
 }
 
 /// This router's part of what the backend servers of a profile carry, in all data centres.
+///
+/// Places that others leave free are divided anew: a router may go beyond its part by an equal
+/// share of what the load reports show as free.
 fn carried(router: &Router, snapshot: &Snapshot, profile: &Profile) -> u64 {
     let servers = servers(snapshot, profile);
     if servers.clone().any(|b| b.seen.slots == 0) {
         return UNLIMITED;
     }
-    match servers.map(|b| b.seen.slots).sum::<u64>() {
-        0 => 0,
-        slots => part(router, snapshot, slots, false),
+    let slots: u64 = servers.clone().map(|b| b.seen.slots).sum();
+    if slots == 0 {
+        return 0;
     }
+    let now = router.timer.now();
+    let free: u64 = servers.clone().map(|b| b.free(now)).sum();
+    let own: u64 = servers.map(Backend::own).sum();
+    let routers = snapshot.hosts.iter().filter(|h| h.alive).count().max(1) as u64;
+    part(router, snapshot, slots, false).max(own + free / routers)
 }
 
-/// The usual time to the first token under a profile, at most half of its deadline.
+/// The time within which first tokens come under a profile, at most half of its
+/// deadline.
 fn first(router: &Router, snapshot: &Snapshot, profile: &Profile) -> Millis {
     let now = router.timer.now();
     let mut times: Vec<u64> = servers(snapshot, profile)
-        .map(|b| b.health().latency(now))
+        .map(|b| b.health().bound(now))
         .filter(|ms| *ms > 0)
         .collect();
     times.sort_unstable();
-    let median = times.get(times.len() / 2).copied().unwrap_or(0);
-    Millis(median.min(profile.deadline_ms / 2))
+    let high = times.get(times.len() * 9 / 10).copied().unwrap_or(0);
+    Millis(high.min(profile.deadline_ms / 2))
 }
 
 /// The backend servers that work under a profile now.
--- a/crates/gooseberry-router/src/backends.rs
+++ b/crates/gooseberry-router/src/backends.rs
@@ -74,13 +74,20 @@
         Millis(self.seen.age_ms) + now.since(self.heard)
     }
 
-    /// The requests of this router that the load report cannot have counted.
-    fn since(&self, now: Millis) -> u64 {
+    /// The places that are free there, as far as this router knows.
+    pub fn free(&self, now: Millis) -> u64 {
+        let reported = self.seen.running + self.seen.queued;
+        let known = reported.saturating_add_signed(self.since(now));
+        self.seen.slots.saturating_sub(known.max(self.own()))
+    }
+
+    /// The requests of this router placed after the load report, less those ended since.
+    fn since(&self, now: Millis) -> i64 {
         let taken = now - self.age(now);
         let counted = self.past.iter().rev().find(|(at, _)| *at <= taken);
         let oldest = self.past.first();
         let counted = counted.or(oldest).map_or(0, |(_, own)| *own);
-        self.own().saturating_sub(counted)
+        self.own() as i64 - counted as i64
     }
 
     /// What the choice needs to know.
--- a/crates/gooseberry-router/src/backends/outcome.rs
+++ b/crates/gooseberry-router/src/backends/outcome.rs
@@ -14,6 +14,7 @@
     own: AtomicU64,
     resumes: AtomicU64,
     first_ms: AtomicU64,
+    spread_ms: AtomicU64,
     measured: AtomicU64,
     failures: AtomicU64,
     ejected: AtomicU64,
@@ -53,6 +54,7 @@
     pub(super) fn health(&self) -> Health {
         Health {
             first_ms: self.first_ms.load(Ordering::Relaxed),
+            spread_ms: self.spread_ms.load(Ordering::Relaxed),
             measured: Millis(self.measured.load(Ordering::Relaxed)),
             failures: self.failures.load(Ordering::Relaxed),
             ejected: Millis(self.ejected.load(Ordering::Relaxed)),
@@ -65,6 +67,7 @@
         let mut health = self.health();
         change(&mut health);
         self.first_ms.store(health.first_ms, Ordering::Relaxed);
+        self.spread_ms.store(health.spread_ms, Ordering::Relaxed);
         self.measured.store(health.measured.0, Ordering::Relaxed);
         self.failures.store(health.failures, Ordering::Relaxed);
         self.ejected.store(health.ejected.0, Ordering::Relaxed);
