router: a takeover asks the first hosts of each data centre for journals

Change: holders() takes the first hosts of each data centre.

Red first: journal_holders witness_asked failed with 'drafts/0 not asked: entry-2'.

--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -85,10 +85,18 @@
         choice::candidates(key, &self.candidates(snapshot.hosts.iter().filter(usable)))
     }
 
-    /// The hosts that may hold a journal of `key`.
+    /// The hosts that may hold a journal of `key`: the first ones of each data centre, since an
+    /// owner prefers witnesses of its own, wherever that is.
     pub fn holders(&self, key: &RequestKey) -> Vec<HostView> {
         let snapshot = self.snapshot();
-        let hosts = choice::holders(key, &self.candidates(snapshot.hosts.iter()));
+        let mut centres: Vec<&DataCentre> = snapshot.hosts.iter().map(|h| &h.data_centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        let mut hosts = Vec::new();
+        for centre in centres {
+            let inside = snapshot.hosts.iter().filter(|h| h.data_centre == *centre);
+            hosts.extend(choice::holders(key, &self.candidates(inside)));
+        }
         let is_holder = |h: &&HostView| hosts.contains(&h.host);
         snapshot.hosts.iter().filter(is_holder).cloned().collect()
     }
