bench config: measures three ways of spreading; the host list is read on change

Cause: it was not known which way of spreading keeps the bounds, and what a node spends.

Ruled out: counting bytes in /proc, which knows them for a network namespace only; processes count the bytes of their own connections instead.

Change: `gooseberry-bench config` starts agents with 490 workspaces, changes them at one a second and in bursts, lets operators race, kills agents, freezes the watcher that is left, cuts a quarter from the platform, and judges every accepted change at every reachable agent. A reader that names the revision it holds gets no host list.

--- a/crates/gooseberry-agent/src/watch.rs
+++ b/crates/gooseberry-agent/src/watch.rs
@@ -12,7 +12,8 @@
     let mut ticks = agent.timer.every(Millis(agent.settings.poll_ms));
     loop {
         ticks.next().await;
-        let Ok(list) = agent.platform.hosts().await else {
+        let held = agent.read(|k| k.hosts.revision);
+        let Ok(Some(list)) = agent.platform.hosts_after(held).await else {
             continue;
         };
         agent.change(|known| {
--- /dev/null
+++ b/crates/gooseberry-bench/src/config/relay.rs
@@ -0,0 +1,69 @@
+//! A relay to the platform that can be cut.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+/// The time between looks at whether the relay is cut.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A relay; it ends with its value.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    is_cut: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Relay {
+    /// Starts a relay that listens at `from`; without that address nobody is relayed.
+    pub(crate) async fn start(from: SocketAddr, to: SocketAddr) -> Self {
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let cut = is_cut.clone();
+        let task = tokio::spawn(async move {
+            if let Ok(listener) = TcpListener::bind(from).await {
+                run(listener, to, cut).await;
+            }
+        });
+        Self { is_cut, task }
+    }
+
+    /// Breaks all connections and takes no more, or takes them again.
+    pub(crate) fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+async fn run(listener: TcpListener, to: SocketAddr, cut: Arc<AtomicBool>) {
+    let mut copies = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((mut near, _)) = accepted else { continue };
+                if cut.load(Ordering::Relaxed) {
+                    continue;
+                }
+                copies.spawn(async move {
+                    let mut far = TcpStream::connect(to).await?;
+                    tokio::io::copy_bidirectional(&mut near, &mut far).await
+                });
+            }
+            () = sleep(LOOK) => {
+                if cut.load(Ordering::Relaxed) {
+                    copies.abort_all();
+                }
+                while copies.try_join_next().is_some() {}
+            }
+        }
+    }
+}
--- a/crates/gooseberry-bench/src/harness/child.rs
+++ b/crates/gooseberry-bench/src/harness/child.rs
@@ -49,6 +49,11 @@
         })
     }
 
+    /// The process's id, while it has not been waited for.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
     /// Ends the process at once.
     pub(crate) fn kill(&mut self) {
         self.signal(Signal::KILL);
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
+mod config;
 mod demo;
 #[expect(dead_code, reason = "the fault experiments use what the demo does not")]
 mod harness;
@@ -15,12 +16,16 @@
     /// Kill an engine in the middle of generations and show that every answer is whole.
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::options))] demo::Options),
+    /// Change the configuration under kills and partitions, and measure how it spreads.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let ran = match command().run() {
         Command::Demo(options) => demo::run(options).await,
+        Command::Config(options) => config::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/gooseberry-standin/src/platform/http.rs
+++ b/crates/gooseberry-standin/src/platform/http.rs
@@ -72,7 +72,13 @@
         return weights(platform).await;
     }
     match (method, path) {
-        (Method::GET, "/v1/hosts") => ok(&platform.hosts()),
+        (Method::GET, "/v1/hosts") => {
+            let list = platform.hosts();
+            let held = format!("after={}", list.revision);
+            // A reader that holds this list is told just that.
+            let is_held = request.uri().query() == Some(held.as_str());
+            ok(&(!is_held).then_some(list))
+        }
         (Method::POST, "/v1/hosts") => match reply::read_json::<Host>(request, MAX_BYTES).await {
             Ok(host) => {
                 platform.put_host(host);
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -75,6 +75,16 @@
         get(self.addr, "/v1/hosts", self.limit).await
     }
 
+    /// Reads the host list if it is no longer at `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn hosts_after(&self, revision: u64) -> Result<Option<HostList>, CallError> {
+        let path = format!("/v1/hosts?after={revision}");
+        get(self.addr, &path, self.limit).await
+    }
+
     /// Puts an entry of the host list.
     ///
     /// # Errors
