gooseberryctl, example declarations and settings for both deployments

Cause: operators had no command line, and nothing showed what declarations and settings look like.

Ruled out: a merge of what is declared with what is accepted; entries that are in no file are retired, so that version control alone says what holds.

Errors name file, place, what was found and what to write. Examples for Sao Mai and NYAH with eight entry hosts each, checked by a test.

The server side of drain is not part of this change.

--- a/crates/gooseberry-agent/src/operate.rs
+++ b/crates/gooseberry-agent/src/operate.rs
@@ -9,13 +9,12 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, StatusCode};
-use peer::agent::About;
 use peer::link::AgentLink;
+use peer::operator::{Difference, HostState, Shown};
 use platform::wire::HostKind;
-use profiles::change::{Change, Proposal, Refusal, Revision, diff};
+use profiles::change::{Proposal, Refusal, Revision, diff};
 use profiles::commit::Outcome;
 use profiles::document::Document;
-use serde::{Deserialize, Serialize};
 use telemetry::admin::AdminError;
 use web::{Response, reply};
 
@@ -32,37 +31,6 @@
 /// The revisions that a history shows.
 const HISTORY: u64 = 50;
 
-/// The answer to `GET /v1/config`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Shown {
-    /// The document.
-    pub document: Document,
-    /// Whether it is certainly the accepted one; else the platform is away.
-    pub is_fresh: bool,
-}
-
-/// The answer to `POST /v1/config/diff`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Difference {
-    /// The version that was compared.
-    pub version: Version,
-    /// The changes that make the document that was sent.
-    pub changes: Vec<Change>,
-}
-
-/// An entry host in the answer to `GET /v1/hosts`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct HostState {
-    /// The host.
-    pub host: HostId,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// What its agent says, if it answered.
-    pub about: Option<About>,
-}
-
 /// Answers an operator's request; `None` if this is not one.
 pub async fn handle(
     agent: &SharedAgent,
--- /dev/null
+++ b/crates/gooseberryctl/src/wait.rs
@@ -0,0 +1,69 @@
+//! Waits until a version is in force on every known host.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use peer::operator::HostState;
+use tokio::time::{Instant, sleep};
+
+use crate::client::Client;
+use crate::outcome::CommandError;
+
+/// The time between two looks at the hosts.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// How far a version has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The hosts that have it.
+    pub done: usize,
+    /// The hosts that do not, each with the version that it has, if it answers.
+    pub lagging: Vec<(HostId, Option<Version>)>,
+}
+
+/// Waits at most `limit`, and tells `say` of each step.
+///
+/// # Errors
+///
+/// `Call` or `Unauthorized`.
+pub async fn until_in_force(
+    client: &Client,
+    version: Version,
+    limit: Duration,
+    say: impl Fn(&Progress),
+) -> Result<Progress, CommandError> {
+    let deadline = Instant::now() + limit;
+    let mut last = None;
+    loop {
+        let progress = progress(&client.hosts().await?, version);
+        if last.as_ref() != Some(&progress) {
+            say(&progress);
+        }
+        if progress.lagging.is_empty() || Instant::now() > deadline {
+            return Ok(progress);
+        }
+        last = Some(progress);
+        sleep(LOOK).await;
+    }
+}
+
+/// How far `version` has come on `hosts`.
+pub fn progress(hosts: &[HostState], version: Version) -> Progress {
+    let held = |h: &HostState| h.about.as_ref().map(|a| a.version);
+    let has = |h: &&HostState| held(h).is_some_and(|v| v >= version);
+    let lagging = hosts.iter().filter(|h| !has(h));
+    Progress {
+        done: hosts.iter().filter(has).count(),
+        lagging: lagging.map(|h| (h.host.clone(), held(h))).collect(),
+    }
+}
+
+/// The lagging hosts in words.
+pub fn describe(lagging: &[(HostId, Option<Version>)]) -> String {
+    let one = |(host, version): &(HostId, Option<Version>)| match version {
+        Some(version) => format!("{host} at version {version}"),
+        None => format!("{host} does not answer"),
+    };
+    let all: Vec<String> = lagging.iter().map(one).collect();
+    all.join(", ")
+}
--- /dev/null
+++ b/crates/gooseberryctl/tests/examples.rs
@@ -0,0 +1,65 @@
+//! The example declarations and settings of both users' deployments are correct and complete.
+
+use std::path::{Path, PathBuf};
+
+use generation::policy::Mode;
+use gooseberryctl::declarations;
+use profiles::document::Document;
+use settings::agent::Agent;
+use settings::router::Router;
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+fn declared(name: &str) -> Document {
+    declarations::read(&example(name)).unwrap_or_else(|faults| panic!("{}", faults.join("\n")))
+}
+
+/// Reads the settings of all hosts and returns their data centres, in order of name.
+fn hosts(name: &str) -> Vec<String> {
+    let mut centres = Vec::new();
+    for i in 1..=8 {
+        let folder = example(name).join(format!("settings/entry-{i}"));
+        let agent: Agent = settings::load(&folder.join("agent.json")).expect("agent settings");
+        let router: Router = settings::load(&folder.join("router.json")).expect("router settings");
+        assert_eq!(router.agent, agent.listen.peers);
+        assert_eq!(router.host, agent.host);
+        assert_eq!(router.data_centre, agent.data_centre);
+        assert_eq!(agent.peers.len(), 7);
+        assert!(agent.operator_digest.is_some());
+        centres.push(agent.data_centre.0);
+    }
+    centres.sort();
+    centres.dedup();
+    centres
+}
+
+#[test]
+fn sao_mai() {
+    let document = declared("sao-mai");
+    assert_eq!(document.workspaces.len(), 10);
+    let model = document.service("draft-model").expect("the model");
+    let profile = document.profile(&model.profile).expect("its profile");
+    assert_eq!(profile.resume.mode, Mode::Latency);
+    let bookings = document.service("booking-app").expect("the plain service");
+    assert!(bookings.may_repeat.iter().all(|r| r.method == "GET"));
+    assert_eq!(hosts("sao-mai"), ["vn-south-a", "vn-south-b", "vn-south-c"]);
+}
+
+#[test]
+fn nyah() {
+    let document = declared("nyah");
+    assert_eq!(document.workspaces.len(), 10);
+    let model = document.service("modellszerver").expect("the model");
+    let profile = document.profile(&model.profile).expect("its profile");
+    assert_eq!(profile.resume.mode, Mode::Cost);
+    let cases = document.service("ugyintezo").expect("the plain service");
+    assert!(cases.may_repeat.iter().all(|r| r.method == "GET"));
+    assert_eq!(
+        hosts("nyah"),
+        ["bp-kelet", "bp-nyugat", "fehervar-dc", "godollo-dc"]
+    );
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod agent;
 pub mod link;
+pub mod operator;
 pub mod router;
 pub mod serve;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -20,7 +20,7 @@
         cause: std::io::Error,
     },
     /// The file is not JSON of the expected shape.
-    #[error("{}: at {place}: {cause}; correct this entry", file.display())]
+    #[error("{}: at {place}: {cause}; {}", file.display(), remedy(cause))]
     Malformed {
         /// The file.
         file: PathBuf,
@@ -39,6 +39,19 @@
     },
 }
 
+/// What to write where the JSON library only says what is wrong.
+fn remedy(cause: &str) -> &'static str {
+    if cause.starts_with("invalid socket address") {
+        "write an IP number and a port, as 10.0.0.7:7004"
+    } else if cause.starts_with("missing field") {
+        "add this entry"
+    } else if cause.starts_with("expected") || cause.starts_with("EOF") {
+        "write JSON, beginning with an opening brace"
+    } else {
+        "correct this entry"
+    }
+}
+
 /// Settings that can be checked as a whole.
 pub trait Checked {
     /// All faults; none if the settings may be used.
