--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
+mod config;
 mod demo;
 mod faults;
 #[expect(dead_code, reason = "later experiments use what these do not")]
@@ -23,6 +24,9 @@
     /// Let engines, routers and connections fail while many answers are under way.
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
+    /// Change the configuration under kills and partitions, and measure how it spreads.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
 }
 
 #[tokio::main]
@@ -31,6 +35,7 @@
         Command::Demo(options) => demo::run(options).await,
         Command::Up(options) => up::run(options).await,
         Command::Faults(options) => faults::run(options).await,
+        Command::Config(options) => config::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
