bench: `up` takes the number of hosts and engines

Cause: the idle cost of agents and routers at today's sizes could not be seen. Change: two options; the demo keeps 2 and 3.

--- a/crates/gooseberry-bench/src/demo.rs
+++ b/crates/gooseberry-bench/src/demo.rs
@@ -19,6 +19,12 @@
 /// The bearer key of the demo's workspace.
 pub(crate) const BEARER: &str = "demo-key";
 
+/// The entry hosts.
+const HOSTS: usize = 2;
+
+/// The engines.
+const ENGINES: usize = 3;
+
 /// The time from the first request to the kill.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
 
@@ -51,7 +57,7 @@
     say("building the programs");
     let programs = build::programs().await?;
     say("starting a platform, 2 entry hosts and 3 engines");
-    let mut fleet = Fleet::start(&programs, &plan()).await?;
+    let mut fleet = Fleet::start(&programs, &plan(HOSTS, ENGINES)).await?;
     say(&format!(
         "opening {} streams through both hosts",
         options.streams
@@ -86,12 +92,12 @@
     Ok(is_whole)
 }
 
-/// Two entry hosts and three engines in one data centre.
-pub(crate) fn plan() -> Plan {
+/// Entry hosts and engines in one data centre.
+pub(crate) fn plan(hosts: usize, engines: usize) -> Plan {
     let here = DataCentre::from("vn-south-a");
     Plan {
-        hosts: vec![here.clone(); 2],
-        engines: vec![here; 3],
+        hosts: vec![here.clone(); hosts],
+        engines: vec![here; engines],
         service: ServiceName::from("draft-model"),
         engine: engine::Settings::default(),
         platform: platform::Settings::default(),
--- a/crates/gooseberry-bench/src/up.rs
+++ b/crates/gooseberry-bench/src/up.rs
@@ -12,13 +12,20 @@
     /// Stop after so many seconds; otherwise at Ctrl-C.
     #[bpaf(long, argument("S"))]
     seconds: Option<u64>,
+    /// How many entry hosts it has.
+    #[bpaf(long, argument("N"), fallback(2))]
+    hosts: usize,
+    /// How many engines it has.
+    #[bpaf(long, argument("N"), fallback(3))]
+    engines: usize,
 }
 
 /// Runs the deployment until it is told to stop.
 pub(crate) async fn run(options: Options) -> Result<bool, BenchError> {
     println!("building the programs");
     let programs = build::programs().await?;
-    let fleet = Fleet::start(&programs, &demo::plan()).await?;
+    let plan = demo::plan(options.hosts, options.engines);
+    let fleet = Fleet::start(&programs, &plan).await?;
     println!("\nexport BEARER={}", demo::BEARER);
     for (i, host) in fleet.hosts.iter().enumerate() {
         println!("export ROUTER_{i}=http://{}", host.callers);
