router: resumes go past failed engines, spread, and in cost mode to the cached prompt

Cause: after several engines of a data centre died, streams went from one dead engine to the next (each looked idle) and waited 1.5 s; under cost mode a paused engine was given up after open_ms, not confirm_ms, and a resume paid the whole prompt again on an engine that did not hold it, so cost mode saved nothing.

Change: a backend server is passed over for 2 s after one stream of it broke, went silent or could not be opened, until it accepts one again; at most resume.resumes streams of a router wait for their first token at one engine while another has fewer; cost mode sends a resume to the engine that holds most of the prompt, which agents follow from the engines' cache events (one block in eight); a probe may take confirm_ms. A takeover uses its own way to the previous owner's engine.

Ruled out: remembering in each router what it placed where (callers of one document come through different hosts), rendezvous placement of resumes (each document's first resume still pays the prompt).

--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -171,6 +171,16 @@
 /// The number of prompt bytes in one block of the prefix cache.
 pub const BLOCK_BYTES: usize = 64;
 
+/// One block in this many is followed by those who choose an engine by its cache.
+const SAMPLE: u64 = 8;
+
+/// Whether a block is followed by those who choose an engine by its cache.
+///
+/// A block's hash covers all blocks before it, so that a part of them tells enough.
+pub fn is_sampled(block: u64) -> bool {
+    block.is_multiple_of(SAMPLE)
+}
+
 /// The chained hashes of the whole blocks of `prompt`, as cache events name them.
 pub fn prompt_blocks(prompt: &str) -> Vec<u64> {
     let mut chain = 0;
--- a/crates/generation/src/policy.rs
+++ b/crates/generation/src/policy.rs
@@ -75,6 +75,9 @@
     pub pause_ms: u64,
     /// The most engine streams over the whole generation.
     pub attempts: u64,
+    /// The most resumes that wait for one engine at once while another engine has fewer, counted
+    /// by each router.
+    pub resumes: u64,
     /// What to do when the model version is gone.
     pub model_gone: ModelGone,
 }
@@ -96,6 +99,7 @@
             orphan_ms: 10_000,
             pause_ms: 2_000,
             attempts: 16,
+            resumes: 2,
             model_gone: ModelGone::Fail,
         }
     }
--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -2,6 +2,7 @@
 //! router what it needs.
 
 pub mod admin;
+pub mod caches;
 pub mod run;
 pub mod shared;
 pub mod watch;
--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, watch};
+use crate::{admin, caches, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
@@ -41,6 +41,7 @@
         tokio::spawn(watch::configuration(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
         tokio::spawn(watch::loads(agent.clone())),
+        tokio::spawn(caches::follow(agent.clone())),
     ];
     let viewed = agent.clone();
     let server = AgentServer {
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -13,6 +13,8 @@
 use timer::Timer;
 use tokio::sync::watch;
 
+use crate::caches::Held;
+
 /// A load report, or the lack of one.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -34,6 +36,8 @@
     pub hosts: HostList,
     /// The load reports.
     pub reports: Sorted<BackendId, Report>,
+    /// What the engines hold in their caches.
+    pub caches: Sorted<BackendId, Held>,
     /// Whether this host is to take no new work.
     pub drain: bool,
 }
@@ -153,7 +157,10 @@
         slots: load.slots,
         models: load.models,
         age_ms: load.age_ms,
-        blocks: Vec::new(),
+        blocks: known
+            .caches
+            .get(&backend)
+            .map_or_else(Vec::new, |h| h.blocks.clone()),
         backend,
     })
 }
--- a/crates/gooseberry-agent/src/watch.rs
+++ b/crates/gooseberry-agent/src/watch.rs
@@ -86,7 +86,7 @@
 }
 
 /// The backend servers of the host list.
-fn backends(agent: &Agent) -> Vec<(BackendId, SocketAddr)> {
+pub(crate) fn backends(agent: &Agent) -> Vec<(BackendId, SocketAddr)> {
     agent.read(|known| {
         let one = |h: &platform::wire::Host| match &h.kind {
             HostKind::Backend { addr, .. } => Some((BackendId(h.name.clone()), *addr)),
--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use cadence::prelude::*;
-use generation::{Action, Event, Failure, Generation};
+use generation::{Action, Event, Failure, Generation, OpenError};
 use journal::record::{End, Header, Link};
 use journal::replica::Replica;
 use profiles::document::Profile;
@@ -216,6 +216,18 @@
         if let Some(incarnation) = news.incarnation {
             self.attempts.identify(news.attempt, incarnation);
         }
+        match &news.event {
+            Event::Opened { attempt, .. } => self.attempts.accepted(*attempt),
+            Event::Token { attempt, .. } => self.attempts.flowing(*attempt),
+            Event::OpenFailed {
+                attempt,
+                cause: OpenError::Unreachable,
+            } => {
+                let now = self.router.timer.now();
+                self.attempts.suspect(*attempt, now);
+            }
+            _ => {}
+        }
         if news.end.is_some() && self.end.is_none() {
             self.end = news.end;
         }
--- a/crates/gooseberry-router/src/drive/attempts.rs
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use engine::wire::{Generate, StreamName, prompt_blocks};
+use generation::policy::Mode;
 use generation::{Event, OpenError};
 use journal::record::StreamRef;
 use serde_json::{Value, json};
@@ -12,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Driver;
-use crate::backends::{NoBackend, Placed, place};
+use crate::backends::{NoBackend, Placed, Want, place};
 use crate::context::Router;
 use crate::stream::{Connection, News, cancel};
 
@@ -62,7 +63,8 @@
         self.streams.push(Open {
             attempt: Attempt(1),
             backend: stream.backend.clone(),
-            addr: stream.addr,
+            // The way to a backend server may differ from that of the previous owner.
+            addr: found.map_or(stream.addr, |b| b.seen.addr),
             name: StreamName(stream.name.clone()),
             incarnation: Some(stream.incarnation),
             connection: 0,
@@ -85,6 +87,31 @@
         }
     }
 
+    /// Notes that an engine accepted an attempt or its resumption.
+    pub(super) fn accepted(&mut self, attempt: Attempt) {
+        let place = self.find(attempt).and_then(|s| s.place.as_ref());
+        if let Some(place) = place {
+            place.backend.trust();
+        }
+    }
+
+    /// Notes that an attempt gives tokens.
+    pub(super) fn flowing(&mut self, attempt: Attempt) {
+        let place = self.find(attempt).and_then(|s| s.place.as_mut());
+        if let Some(place) = place {
+            place.flow();
+        }
+    }
+
+    /// Lets other requests pass over the engine of an attempt that went silent, broke or could not
+    /// be opened, until it accepts a stream again.
+    pub(super) fn suspect(&mut self, attempt: Attempt, now: Millis) {
+        let place = self.find(attempt).and_then(|s| s.place.as_ref());
+        if let Some(place) = place {
+            place.backend.suspect(now);
+        }
+    }
+
     /// Ends an attempt and its stream on the engine.
     pub(super) fn cancel(&mut self, attempt: Attempt) {
         let Some(stream) = self.find(attempt) else {
@@ -180,13 +207,21 @@
         let avoid = self.attempts.backends(avoid);
         let snapshot = self.router.snapshot();
         let blocks = prompt_blocks(&self.job.prompt);
+        let resume = &self.job.profile.resume;
+        let is_resume = !self.generation.tokens().is_empty();
         let placed = place(
             &snapshot,
-            &self.router.settings.data_centre,
-            &self.job.service,
-            Some(&self.job.model),
-            &blocks,
-            &avoid,
+            &Want {
+                now: self.router.timer.now(),
+                near: &self.router.settings.data_centre,
+                service: &self.job.service,
+                model: Some(&self.job.model),
+                blocks: &blocks,
+                avoid: &avoid,
+                is_resume,
+                resumes: resume.resumes,
+                prefers_cached: is_resume && resume.mode == Mode::Cost,
+            },
         );
         match placed {
             Ok(placed) => self.open_at(attempt, placed),
@@ -230,7 +265,10 @@
 
     /// Reads the stream of an attempt over a new connection.
     pub(super) fn reattach(&mut self, attempt: Attempt, from: Offset) {
-        let limit = self.open_limit();
+        let now = self.router.timer.now();
+        self.attempts.suspect(attempt, now);
+        // An engine that is paused accepts nothing; how long it may be is the profile's to say.
+        let limit = Millis(self.job.profile.resume.confirm_ms).duration();
         if let Some((connection, name)) = self.attempts.connect(attempt, limit) {
             tokio::spawn(connection.resume(name, from));
         }
