--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -103,6 +103,7 @@
     /// `Sealed` under a lower epoch than the fence, `Gap` if tokens are missing before these,
     /// `Full` and `Leaving` if the host takes no more.
     pub fn append(&mut self, now: Millis, append: Append) -> Result<Offset, Refusal> {
+        self.make_room(&append);
         let known = self.entries.get(&append.key);
         if let Some(entry) = known
             && append.epoch < entry.fence
@@ -146,6 +147,24 @@
         Ok(Offset(entry.tokens.len() as u64))
     }
 
+    /// Drops journals whose callers have their whole answer, the oldest first, as far as `append`
+    /// needs their room.
+    fn make_room(&mut self, append: &Append) {
+        let is_new = self.entries.get(&append.key).is_none();
+        let added: usize = append.tokens.iter().map(Token::size).sum();
+        while self.bytes + added > self.limits.bytes
+            || (is_new && self.entries.len() >= self.limits.count)
+        {
+            let closed = self.entries.iter().filter(|(_, e)| e.closed);
+            let oldest = closed.min_by_key(|(_, e)| e.touched);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+                return;
+            };
+            let dropped = self.entries.remove(&key);
+            self.bytes -= dropped.map_or(0, |e| e.bytes);
+        }
+    }
+
     /// Refuses appends below `epoch` from now on, and returns the journal as it stands.
     ///
     /// A key without a journal is sealed too, so that an owner that was paused cannot start one.
