--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, drain, heartbeats, spread, watch};
+use crate::{admin, caches, drain, heartbeats, spread, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
@@ -43,6 +43,7 @@
         tokio::spawn(spread::run(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
         tokio::spawn(heartbeats::run(agent.clone())),
+        tokio::spawn(caches::follow(agent.clone())),
     ];
     let (viewed, asked, own) = (agent.clone(), agent.clone(), agent.clone());
     let (beaten, left) = (agent.clone(), agent.clone());
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use base::prelude::*;
+use base::sorted::Sorted;
 use membership::listed::Place;
 use membership::members::Own;
 use membership::{Members, Policy};
@@ -14,6 +15,7 @@
 use timer::Timer;
 use tokio::sync::watch;
 
+use crate::caches::Blocks;
 use crate::heartbeats::Links;
 use crate::members::{backend_views, host_views};
 use crate::spread::Spread;
@@ -25,6 +27,8 @@
     pub held: Held,
     /// The host list.
     pub hosts: HostList,
+    /// What the engines hold in their caches.
+    pub caches: Sorted<BackendId, Blocks>,
 }
 
 /// An agent.
@@ -127,11 +131,15 @@
         let now = self.timer.now();
         self.members(|m| m.refresh(now));
         let revision = *self.revision.borrow();
-        let (hosts, backends, drain) = self.members(|m| {
+        let (hosts, mut backends, drain) = self.members(|m| {
             let leaving = m.own().life.leaving;
             (host_views(m), backend_views(m, now), leaving)
         });
         self.read(|known| {
+            for view in &mut backends {
+                let held = known.caches.get(&view.backend);
+                view.blocks = held.map_or_else(Vec::new, |b| b.held.clone());
+            }
             let held = known.held.document();
             View {
                 revision,
--- a/crates/gooseberry-router/src/backends.rs
+++ b/crates/gooseberry-router/src/backends.rs
@@ -7,14 +7,15 @@
 
 use balance::{Ask, Health, Server, choose};
 use base::prelude::*;
+use generation::policy::Mode;
 use peer::agent::BackendView;
 use profiles::document::Profile;
 
 use crate::context::Router;
 use outcome::Outcome;
 
-/// The most resumed requests that this router gives one server before it has continued them.
-const MAX_RESUMES: u64 = 8;
+/// How long a backend server is passed over after a loss; its load reports tell of it by then.
+const SUSPECT: Millis = Millis(2_000);
 
 /// The blocks of a prompt that decide on its home when no cache event tells of any.
 const PREFIX_BLOCKS: usize = 8;
@@ -69,6 +70,16 @@
         self.outcome.health()
     }
 
+    /// Passes it over for a while, since a stream of it is lost or cannot be opened.
+    pub fn suspect(&self, now: Millis) {
+        self.outcome.suspect(now + SUSPECT);
+    }
+
+    /// Ends the time for which it is passed over.
+    pub fn trust(&self) {
+        self.outcome.suspect(Millis(0));
+    }
+
     /// The age of the load report.
     fn age(&self, now: Millis) -> Millis {
         Millis(self.seen.age_ms) + now.since(self.heard)
@@ -209,16 +220,22 @@
         .iter()
         .filter(|b| b.seen.service == *want.service && b.seen.alive && !b.seen.leaving)
         .collect();
-    let servers: Vec<Server<'_>> = live.iter().map(|b| b.server(now, near, want)).collect();
+    let mut servers: Vec<Server<'_>> = live.iter().map(|b| b.server(now, near, want)).collect();
+    let suspects = live.iter().filter(|b| b.outcome.is_suspect(now));
+    let mut avoid: Vec<BackendId> = suspects.map(|b| b.seen.backend.clone()).collect();
+    avoid.extend_from_slice(want.avoid);
+    if want.is_resume && want.profile.resume.mode == Mode::Cost {
+        keep_cached(&mut servers, &avoid);
+    }
     let routers = snapshot.hosts.iter().filter(|h| h.alive).count() as u64;
     let prefix = PREFIX_BLOCKS.min(want.blocks.len()).checked_sub(1);
     let ask = Ask {
-        avoid: want.avoid,
+        avoid: &avoid,
         spread: rand::random(),
         routers,
         prefix: prefix.map(|i| want.blocks[i]),
         blocks: want.blocks.len() as u64,
-        resumes: want.is_resume.then_some(MAX_RESUMES),
+        resumes: want.is_resume.then_some(want.profile.resume.resumes),
         rule: want.profile.choice,
         turn: router.turn.fetch_add(1, Ordering::Relaxed),
     };
@@ -229,6 +246,23 @@
     }
 }
 
+/// Leaves only the servers that hold most of the prompt, if one with room holds any of it.
+fn keep_cached(servers: &mut [Server<'_>], avoid: &[BackendId]) {
+    let has_room = |s: &Server<'_>| {
+        let load = s.own.max(s.reported);
+        let is_avoided = avoid.iter().any(|b| b.as_str() == s.backend);
+        s.is_usable && !is_avoided && (s.slots == 0 || load < s.slots)
+    };
+    let best = servers.iter().filter(|s| has_room(s)).map(|s| s.cached);
+    let best = best.max().unwrap_or(0);
+    if best == 0 {
+        return;
+    }
+    for server in servers {
+        server.is_usable = has_room(server) && server.cached == best;
+    }
+}
+
 /// The place of a data centre in the order of preference; 0 is the router's own.
 fn rank(place: &DataCentre, near: &DataCentre, spill: &[DataCentre]) -> usize {
     if place == near {
--- a/crates/gooseberry-router/src/backends/outcome.rs
+++ b/crates/gooseberry-router/src/backends/outcome.rs
@@ -19,6 +19,8 @@
     failures: AtomicU64,
     ejected: AtomicU64,
     returned: AtomicU64,
+    /// Until when the server is passed over.
+    suspect: AtomicU64,
 }
 
 impl Outcome {
@@ -50,6 +52,16 @@
         self.resumes.load(Ordering::Relaxed)
     }
 
+    /// Passes the server over until a time.
+    pub(super) fn suspect(&self, until: Millis) {
+        self.suspect.store(until.0, Ordering::Relaxed);
+    }
+
+    /// Whether the server is passed over.
+    pub(super) fn is_suspect(&self, now: Millis) -> bool {
+        self.suspect.load(Ordering::Relaxed) > now.0
+    }
+
     /// The health as it stands.
     pub(super) fn health(&self) -> Health {
         Health {
--- a/crates/gooseberry-router/src/drive/attempts.rs
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -62,7 +62,8 @@
         self.streams.push(Open {
             attempt: Attempt(1),
             backend: stream.backend.clone(),
-            addr: stream.addr,
+            // The way to a backend server may differ from that of the previous owner.
+            addr: found.map_or(stream.addr, |b| b.seen.addr),
             name: StreamName(stream.name.clone()),
             incarnation: Some(stream.incarnation),
             connection: 0,
@@ -85,9 +86,14 @@
             return;
         };
         match &news.event {
+            Event::Opened { .. } => place.backend.trust(),
             Event::Token { .. } => place.first_token(now),
             Event::OpenFailed { cause, .. } => match cause {
-                OpenError::Unreachable | OpenError::Busy => place.failed(now),
+                OpenError::Unreachable => {
+                    place.backend.suspect(now);
+                    place.failed(now);
+                }
+                OpenError::Busy => place.failed(now),
                 OpenError::NoBackend
                 | OpenError::ModelGone
                 | OpenError::Invalid
@@ -105,6 +111,15 @@
         }
     }
 
+    /// Lets other requests pass over the engine of an attempt that went silent, broke or could not
+    /// be opened, until it accepts a stream again.
+    pub(super) fn suspect(&mut self, attempt: Attempt, now: Millis) {
+        let place = self.find(attempt).and_then(|s| s.place.as_ref());
+        if let Some(place) = place {
+            place.backend.suspect(now);
+        }
+    }
+
     /// Ends an attempt and its stream on the engine.
     pub(super) fn cancel(&mut self, attempt: Attempt) {
         let Some(stream) = self.find(attempt) else {
@@ -257,7 +272,10 @@
 
     /// Reads the stream of an attempt over a new connection.
     pub(super) fn reattach(&mut self, attempt: Attempt, from: Offset) {
-        let limit = self.open_limit();
+        let now = self.router.timer.now();
+        self.attempts.suspect(attempt, now);
+        // An engine that is paused accepts nothing; how long it may be is the profile's to say.
+        let limit = Millis(self.job.profile.resume.confirm_ms).duration();
         if let Some((connection, name)) = self.attempts.connect(attempt, limit) {
             tokio::spawn(connection.resume(name, from));
         }
