--- a/crates/gooseberry-agent/tests/config/spread.rs
+++ b/crates/gooseberry-agent/tests/config/spread.rs
@@ -1,9 +1,14 @@
 //! Accepted versions reach every agent and never fall, whatever is away.
 
 use crate::site::{Relay, Site, agent, get};
+use base::prelude::*;
 use hyper::StatusCode;
 use platform::client::Platform;
 use platform::wire::{Expect, Op, Transact, Write};
+use profiles::change::{Change, Revision};
+use profiles::commit::Written;
+use profiles::document::Workspace;
+use profiles::held::{Held, News};
 use profiles::spread::{Part, Way, part};
 use serde_json::json;
 use std::time::Duration;
@@ -142,6 +147,54 @@
     }
 }
 
+/// A node that starts far behind reads a snapshot, though the first revisions are kept no longer.
+#[tokio::test]
+async fn starts_from_snapshot() {
+    let site = Site::start(7, &["a"]).await;
+    let platform = Platform {
+        addr: site.platform,
+        limit: Duration::from_secs(5),
+    };
+    let mut held = Held::default();
+    for version in 1..=300 {
+        let revision = revision(version);
+        held.take(News::Changes(vec![revision.clone()]));
+        let head = platform.head().await.expect("a head");
+        assert_eq!(platform.commit(&head, &revision).await, Written::Committed);
+        let kept = platform.keep_snapshot(held.document()).await;
+        kept.expect("a snapshot, if one is due");
+    }
+    let gone = (1..=200).map(|version| Op {
+        key: format!("config/change/{version}"),
+        expect: Expect::Any,
+        write: Write::Delete,
+    });
+    let ops = gone.collect();
+    platform.transact(&Transact { ops }).await.expect("a write");
+    let one = agent(site.settings(0));
+    one.until(300).await;
+    let document = &one.state().await["view"]["document"];
+    assert_eq!(
+        *document,
+        serde_json::to_value(held.document()).expect("JSON")
+    );
+}
+
+/// The revision that makes `version`: one of three workspaces with a new share.
+fn revision(version: u32) -> Revision {
+    let workspace = Workspace {
+        name: WorkspaceName(format!("w-{}", version % 3)),
+        keys: Vec::new(),
+        share: version,
+        running: 0,
+    };
+    Revision {
+        version: Version(version.into()),
+        operation: OperationId(format!("op-{version}")),
+        changes: vec![Change::PutWorkspace(workspace)],
+    }
+}
+
 /// All hosts of a data centre start again while the platform is away.
 #[tokio::test]
 async fn restart_without_platform() {
--- a/crates/gooseberry-router/src/config.rs
+++ b/crates/gooseberry-router/src/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use cadence::Gauged;
 use peer::agent::{HostView, View};
 use peer::link::AgentLink;
 use profiles::document::Document;
@@ -84,6 +85,7 @@
                 router.settings.host,
                 document.version
             );
+            let _ = router.metrics.gauge("config_version", document.version.0);
             Arc::new(document)
         }
         _ => held.document.clone(),
