--- a/crates/gooseberry-bench/src/config/changes.rs
+++ b/crates/gooseberry-bench/src/config/changes.rs
@@ -32,6 +32,9 @@
 pub(crate) struct Operators {
     pub(crate) accepted: Vec<Accepted>,
     pub(crate) conflicts: u64,
+    /// Proposals to agents that could not reach the platform; nothing was sent for these.
+    pub(crate) unavailable: u64,
+    /// Proposals that were refused for another reason, or have no known outcome.
     pub(crate) failed: u64,
     head: u64,
     count: u32,
@@ -98,6 +101,7 @@
                 self.head = self.head.max(head.0);
                 self.conflicts += 1;
             }
+            Some(Outcome::Unavailable) => self.unavailable += 1,
             _ => self.failed += 1,
         }
     }
--- a/crates/gooseberry-bench/src/config/judge.rs
+++ b/crates/gooseberry-bench/src/config/judge.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use profiles::document::Document;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::Value;
 
 use super::agents::{Agent, Agents, WORKSPACES};
@@ -17,7 +17,7 @@
 const EXCUSED_MS: u64 = 4_000;
 
 /// The verdict on a run.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Judged {
     /// Accepted changes that the platform does not hold under their version.
     pub(crate) lost: u64,
