Example host lists for both deployments, checked against their settings

Cause: the examples named 25 and 3, and 20 and 4 workers nowhere.

Change: a host list for each deployment; the test reads each entry host's settings and compares addresses and data centres.

--- a/crates/gooseberryctl/tests/examples.rs
+++ b/crates/gooseberryctl/tests/examples.rs
@@ -4,6 +4,7 @@
 
 use generation::policy::Mode;
 use gooseberryctl::declarations;
+use platform::wire::{Host, HostKind};
 use profiles::document::Document;
 use settings::agent::Agent;
 use settings::router::Router;
@@ -37,6 +38,26 @@
     centres
 }
 
+/// How many workers of a service stand in the host list, which must list the entry hosts as their
+/// settings do.
+fn workers(name: &str, service: &str) -> usize {
+    let list: Vec<Host> = settings::load::read(&example(name).join("hosts.json")).expect("a list");
+    for host in &list {
+        let HostKind::Entry { router, agent } = host.kind else {
+            continue;
+        };
+        let folder = example(name).join("settings").join(&host.name);
+        let own: Router = settings::load(&folder.join("router.json")).expect("router settings");
+        assert_eq!((own.listen.peers, own.agent), (router, agent));
+        assert_eq!(own.data_centre, host.data_centre);
+    }
+    let is_worker = |h: &&Host| match &h.kind {
+        HostKind::Backend { service: of, .. } => of.as_str() == service,
+        HostKind::Entry { .. } => false,
+    };
+    list.iter().filter(is_worker).count()
+}
+
 #[test]
 fn sao_mai() {
     let document = declared("sao-mai");
@@ -46,6 +67,8 @@
     assert_eq!(profile.resume.mode, Mode::Latency);
     let bookings = document.service("booking-app").expect("the plain service");
     assert!(bookings.may_repeat.iter().all(|r| r.method == "GET"));
+    assert_eq!(workers("sao-mai", "draft-model"), 25);
+    assert_eq!(workers("sao-mai", "booking-app"), 3);
     assert_eq!(hosts("sao-mai"), ["vn-south-a", "vn-south-b", "vn-south-c"]);
 }
 
@@ -58,6 +81,8 @@
     assert_eq!(profile.resume.mode, Mode::Cost);
     let cases = document.service("ugyintezo").expect("the plain service");
     assert!(cases.may_repeat.iter().all(|r| r.method == "GET"));
+    assert_eq!(workers("nyah", "modellszerver"), 20);
+    assert_eq!(workers("nyah", "ugyintezo"), 4);
     assert_eq!(
         hosts("nyah"),
         ["bp-kelet", "bp-nyugat", "fehervar-dc", "godollo-dc"]
