bench: `calls`, a plain service under faults of processes and store

Cause: at most once had been shown with fakes only, and the cost of claims had not been measured.

Change: `gooseberry-bench calls`: 3 entry hosts, 3 servers of a plain service and the platform as processes. Routers and servers are killed and paused, servers die after a run, and at the same time the store is down, slow or loses answers. A quarter of the keys goes to two routers at once. The service stand-in writes each run to a file before it runs, so that the runs of a killed server count too. Then 500 calls a second with and without batches of claims. The fleet of the bench can hold a plain service.

No fault parts the data centres in this experiment; the scenarios do.

--- a/crates/gooseberry-bench/src/demo.rs
+++ b/crates/gooseberry-bench/src/demo.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::harness::caller::{Ask, Seen, Verdict};
-use crate::harness::fleet::{Fleet, Plan};
+use crate::harness::fleet::{Fleet, PlainPlan, Plan};
 use crate::harness::report::{Times, times};
 use crate::harness::{BenchError, build};
 
@@ -96,6 +96,7 @@
         engine: engine::Settings::default(),
         platform: platform::Settings::default(),
         document: document(),
+        plain: PlainPlan::default(),
     }
 }
 
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use gooseberry_standin::{engine, platform as standin};
+use calls::batch::Policy as Claims;
+use gooseberry_standin::{engine, platform as standin, service};
 use hyper::Method;
 use platform::client::Platform;
 use platform::wire::{Expect, Host, HostKind, Op, Transact, Write};
@@ -35,6 +36,7 @@
 const AGENT_PEERS: u16 = 7004;
 const AGENT_ADMIN: u16 = 7005;
 const BACKEND: u16 = 7010;
+const PLAIN: u16 = 7011;
 const PLATFORM: u16 = 7020;
 
 /// What a deployment consists of.
@@ -52,6 +54,35 @@
     pub(crate) platform: standin::Settings,
     /// The configuration.
     pub(crate) document: Document,
+    /// The plain service beside the engines.
+    pub(crate) plain: PlainPlan,
+}
+
+/// The plain service of a deployment; by default it has no servers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PlainPlan {
+    /// The data centre of each server.
+    pub(crate) servers: Vec<DataCentre>,
+    /// The service that they form.
+    pub(crate) service: ServiceName,
+    /// What they are like.
+    pub(crate) settings: service::Settings,
+    /// How routers share the table's writes.
+    pub(crate) claims: Claims,
+    /// Where routers send metrics, if anywhere.
+    pub(crate) statsd: Option<SocketAddr>,
+}
+
+/// A server of the plain service.
+#[derive(Debug)]
+pub(crate) struct PlainServer {
+    /// Its address.
+    pub(crate) addr: SocketAddr,
+    /// Its process.
+    pub(crate) process: Child,
+    /// The keys of its calls, one a line, also of its earlier lives.
+    pub(crate) runs: PathBuf,
+    file: PathBuf,
 }
 
 /// An entry host.
@@ -92,6 +123,8 @@
     pub(crate) hosts: Vec<EntryHost>,
     /// The engines.
     pub(crate) engines: Vec<Engine>,
+    /// The servers of the plain service.
+    pub(crate) plain: Vec<PlainServer>,
 }
 
 impl Drop for Fleet {
@@ -119,18 +152,23 @@
             platform_addr,
             hosts: Vec::new(),
             engines: Vec::new(),
+            plain: Vec::new(),
         };
         fleet.put_document(&plan.document).await?;
         for i in 0..plan.engines.len() {
             fleet.start_engine(plan, i)?;
         }
+        for i in 0..plan.plain.servers.len() {
+            fleet.start_plain(plan, i)?;
+        }
         for i in 0..plan.hosts.len() {
             fleet.start_host(plan, i)?;
         }
         for host in &fleet.hosts {
             until_ready(host.admin, &host.callers.to_string()).await?;
         }
-        fleet.until_seen(plan.engines.len()).await?;
+        let backends = plan.engines.len() + plan.plain.servers.len();
+        fleet.until_seen(backends).await?;
         Ok(fleet)
     }
 
@@ -142,6 +180,21 @@
         Ok(())
     }
 
+    /// Starts a server of the plain service again at its old address.
+    pub(crate) fn restart_plain(&mut self, i: usize) -> Result<(), BenchError> {
+        let file = self.plain[i].file.clone();
+        self.plain[i].process =
+            Child::start(&self.programs, "gooseberry-standin", &["service"], &file)?;
+        Ok(())
+    }
+
+    /// Starts a router again at its old addresses.
+    pub(crate) fn restart_router(&mut self, i: usize) -> Result<(), BenchError> {
+        let file = self.folder.join(format!("{}-router.json", host_name(i)));
+        self.hosts[i].router = Child::start(&self.programs, "gooseberry-router", &[], &file)?;
+        Ok(())
+    }
+
     /// The state dump of a router.
     pub(crate) async fn state(&self, host: usize) -> Result<Value, BenchError> {
         Ok(web::client::get(self.hosts[host].admin, "/v1/state", CALL).await?)
@@ -201,6 +254,25 @@
         Ok(())
     }
 
+    fn start_plain(&mut self, plan: &Plan, i: usize) -> Result<(), BenchError> {
+        let runs = self.folder.join(format!("{}.runs", plain_name(i)));
+        let settings = service::Settings {
+            listen: plain_address(i),
+            record: Some(runs.clone()),
+            ..plan.plain.settings.clone()
+        };
+        let file = self.folder.join(format!("{}.json", plain_name(i)));
+        write_settings(&file, &settings)?;
+        let process = Child::start(&self.programs, "gooseberry-standin", &["service"], &file)?;
+        self.plain.push(PlainServer {
+            addr: settings.listen,
+            process,
+            runs,
+            file,
+        });
+        Ok(())
+    }
+
     fn start_host(&mut self, plan: &Plan, i: usize) -> Result<(), BenchError> {
         let router = router_settings(plan, i, self.platform_addr);
         let agent = agent_settings(plan, i, self.platform_addr);
@@ -257,10 +329,10 @@
         platform,
         platform_ms: 1_000,
         journal: journal::store::Limits::default(),
-        claims: Default::default(),
+        claims: plan.plain.claims,
         drain_ms: 60_000,
         log: log(),
-        statsd: None,
+        statsd: plan.plain.statsd,
     }
 }
 
@@ -305,7 +377,17 @@
             },
             leaving: false,
         });
-    entries.chain(engines).collect()
+    let plain = plan.plain.servers.iter().enumerate();
+    let plain = plain.map(|(i, data_centre)| Host {
+        name: plain_name(i),
+        data_centre: data_centre.clone(),
+        kind: HostKind::Backend {
+            service: plan.plain.service.clone(),
+            addr: plain_address(i),
+        },
+        leaving: false,
+    });
+    entries.chain(engines).chain(plain).collect()
 }
 
 fn host_name(i: usize) -> HostId {
@@ -324,6 +406,14 @@
     address(2, i, BACKEND)
 }
 
+fn plain_name(i: usize) -> String {
+    format!("plain-{i}")
+}
+
+fn plain_address(i: usize) -> SocketAddr {
+    address(2, i, PLAIN)
+}
+
 /// A loopback address of this run; runs at the same time have addresses of their own.
 fn address(group: u8, i: usize, port: u16) -> SocketAddr {
     let run = std::process::id() % 250 + 1;
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
+mod calls;
 mod demo;
 #[expect(dead_code, reason = "the fault experiments use what the demo does not")]
 mod harness;
@@ -12,6 +13,9 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Command {
+    /// Call a plain service under faults and count how often each key ran.
+    #[bpaf(command)]
+    Calls(#[bpaf(external(calls::options))] calls::Options),
     /// Kill an engine in the middle of generations and show that every answer is whole.
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::options))] demo::Options),
@@ -20,6 +24,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let ran = match command().run() {
+        Command::Calls(options) => calls::run(options).await,
         Command::Demo(options) => demo::run(options).await,
     };
     match ran {
--- a/crates/gooseberry-standin/src/service.rs
+++ b/crates/gooseberry-standin/src/service.rs
@@ -1,6 +1,8 @@
 //! The plain service stand-in: it counts how often each key was run.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -33,6 +35,9 @@
     pub work_ms: u64,
     /// The number of calls that it says it runs at once.
     pub slots: u64,
+    /// The file to which the key of each call is added before it runs, so that it outlives the
+    /// process.
+    pub record: Option<PathBuf>,
 }
 
 impl Default for Settings {
@@ -41,6 +46,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             work_ms: 5,
             slots: 64,
+            record: None,
         }
     }
 }
@@ -135,6 +141,9 @@
 impl Service {
     /// Counts a run of `key` and returns its number over all keys.
     fn count(&self, key: &str) -> u64 {
+        if let Some(file) = &self.settings.record {
+            record(file, key);
+        }
         let mut runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
         *runs.entry(key.to_owned(), || 0) += 1;
         let mut total = self.total.lock().unwrap_or_else(|e| e.into_inner());
@@ -162,6 +171,20 @@
     }
 }
 
+/// Adds a key to the file; what is written stays when the process is killed.
+fn record(file: &PathBuf, key: &str) {
+    let opened = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(file);
+    let written = opened.and_then(|mut f| f.write_all(format!("{key}\n").as_bytes()));
+    if let Err(e) = written {
+        // A run that is not counted would make the measurement worthless.
+        eprintln!("{}: {e}; name a file that can be written", file.display());
+        std::process::abort();
+    }
+}
+
 fn change(count: &Mutex<u64>, by: i64) {
     let mut count = count.lock().unwrap_or_else(|e| e.into_inner());
     *count = count.saturating_add_signed(by);
