--- a/crates/gooseberry-bench/src/faults/site.rs
+++ b/crates/gooseberry-bench/src/faults/site.rs
@@ -14,7 +14,7 @@
 use strum::{Display, EnumString};
 
 use crate::harness::caller::Ask;
-use crate::harness::fleet::{Fleet, Plan};
+use crate::harness::fleet::{Fleet, PlainPlan, Plan};
 
 /// The entry hosts of each user.
 const HOSTS: usize = 8;
@@ -95,6 +95,7 @@
             hosts: spread(HOSTS),
             engines: spread(self.engines()),
             service: ServiceName::from(self.service()),
+            plain: PlainPlan::default(),
             engine: engine::Settings {
                 jitter_ms: 5,
                 cache_blocks: CACHE_BLOCKS,
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use gooseberry_standin::{engine, platform as standin};
+use calls::batch::Policy as Claims;
+use gooseberry_standin::{engine, platform as standin, service};
 use hyper::Method;
 use platform::client::Platform;
 use platform::config::{HeadRow, commit_ops};
@@ -39,6 +40,7 @@
 const AGENT_PEERS: u16 = 7004;
 const AGENT_ADMIN: u16 = 7005;
 const BACKEND: u16 = 7010;
+const PLAIN: u16 = 7011;
 const PLATFORM: u16 = 7020;
 
 /// The distance between the ports of the relays to one address.
@@ -59,6 +61,35 @@
     pub(crate) platform: standin::Settings,
     /// The configuration.
     pub(crate) document: Document,
+    /// The plain service beside the engines.
+    pub(crate) plain: PlainPlan,
+}
+
+/// The plain service of a deployment; by default it has no servers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PlainPlan {
+    /// The data centre of each server.
+    pub(crate) servers: Vec<DataCentre>,
+    /// The service that they form.
+    pub(crate) service: ServiceName,
+    /// What they are like.
+    pub(crate) settings: service::Settings,
+    /// How routers share the table's writes.
+    pub(crate) claims: Claims,
+    /// Where routers send metrics, if anywhere.
+    pub(crate) statsd: Option<SocketAddr>,
+}
+
+/// A server of the plain service.
+#[derive(Debug)]
+pub(crate) struct PlainServer {
+    /// Its address.
+    pub(crate) addr: SocketAddr,
+    /// Its process.
+    pub(crate) process: Child,
+    /// The keys of its calls, one a line, also of its earlier lives.
+    pub(crate) runs: PathBuf,
+    file: PathBuf,
 }
 
 /// An entry host.
@@ -102,6 +133,8 @@
     pub(crate) hosts: Vec<EntryHost>,
     /// The engines.
     pub(crate) engines: Vec<Engine>,
+    /// The servers of the plain service.
+    pub(crate) plain: Vec<PlainServer>,
 }
 
 impl Drop for Fleet {
@@ -145,6 +178,7 @@
             views,
             hosts: Vec::new(),
             engines: Vec::new(),
+            plain: Vec::new(),
         };
         for view in 0..count {
             put_document(platform_address(view), &plan.document).await?;
@@ -152,6 +186,9 @@
         for i in 0..plan.engines.len() {
             fleet.start_engine(plan, i)?;
         }
+        for i in 0..plan.plain.servers.len() {
+            fleet.start_plain(plan, i)?;
+        }
         for i in 0..plan.hosts.len() {
             let view = relays.map_or(0, |r| r.centre(&plan.hosts[i]));
             fleet.start_host(plan, i, platform_address(view))?;
@@ -159,7 +196,8 @@
         for host in &fleet.hosts {
             until_ready(host.admin, &host.callers.to_string()).await?;
         }
-        fleet.until_seen(plan.engines.len()).await?;
+        let backends = plan.engines.len() + plan.plain.servers.len();
+        fleet.until_seen(backends).await?;
         Ok(fleet)
     }
 
@@ -186,6 +224,14 @@
         Ok(())
     }
 
+    /// Starts a server of the plain service again at its old address.
+    pub(crate) fn restart_plain(&mut self, i: usize) -> Result<(), BenchError> {
+        let file = self.plain[i].file.clone();
+        self.plain[i].process =
+            Child::start(&self.programs, "gooseberry-standin", &["service"], &file)?;
+        Ok(())
+    }
+
     /// The state dump of a router.
     pub(crate) async fn state(&self, host: usize) -> Result<Value, BenchError> {
         Ok(web::client::get(self.hosts[host].admin, "/v1/state", CALL).await?)
@@ -223,6 +269,25 @@
         Ok(())
     }
 
+    fn start_plain(&mut self, plan: &Plan, i: usize) -> Result<(), BenchError> {
+        let runs = self.folder.join(format!("{}.runs", plain_name(i)));
+        let settings = service::Settings {
+            listen: plain_address(i),
+            record: Some(runs.clone()),
+            ..plan.plain.settings.clone()
+        };
+        let file = self.folder.join(format!("{}.json", plain_name(i)));
+        write_settings(&file, &settings)?;
+        let process = Child::start(&self.programs, "gooseberry-standin", &["service"], &file)?;
+        self.plain.push(PlainServer {
+            addr: settings.listen,
+            process,
+            runs,
+            file,
+        });
+        Ok(())
+    }
+
     fn start_host(
         &mut self,
         plan: &Plan,
@@ -304,11 +369,11 @@
         platform,
         platform_ms: 1_000,
         journal: journal::store::Limits::default(),
-        claims: Default::default(),
+        claims: plan.plain.claims,
         drain_ms: 60_000,
         operator_digest: None,
         log: log(),
-        statsd: None,
+        statsd: plan.plain.statsd,
     }
 }
 
@@ -357,7 +422,17 @@
             },
             leaving: false,
         });
-    entries.chain(engines).collect()
+    let plain = plan.plain.servers.iter().enumerate();
+    let plain = plain.map(|(i, data_centre)| Host {
+        name: plain_name(i),
+        data_centre: data_centre.clone(),
+        kind: HostKind::Backend {
+            service: plan.plain.service.clone(),
+            addr: plain_address(i),
+        },
+        leaving: false,
+    });
+    entries.chain(engines).chain(plain).collect()
 }
 
 /// The addresses behind relays, each with the data centre in which it is.
@@ -395,6 +470,14 @@
     address(2, i, BACKEND)
 }
 
+fn plain_name(i: usize) -> String {
+    format!("plain-{i}")
+}
+
+fn plain_address(i: usize) -> SocketAddr {
+    address(2, i, PLAIN)
+}
+
 /// A loopback address of this run; runs at the same time have addresses of their own.
 fn address(group: u8, i: usize, port: u16) -> SocketAddr {
     let run = std::process::id() % 250 + 1;
