--- a/crates/gooseberry-agent/src/admin.rs
+++ b/crates/gooseberry-agent/src/admin.rs
@@ -8,6 +8,7 @@
 
 use membership::Members;
 
+use crate::operate;
 use crate::shared::{Agent, SharedAgent};
 
 /// Answers one request.
@@ -15,6 +16,10 @@
     if request.method() == Method::POST && request.uri().path() == "/v1/drain" {
         return drain(&agent, &request);
     }
+    let request = match operate::handle(&agent, request).await {
+        Ok(response) => return response,
+        Err(other) => other,
+    };
     let answered = answer(&request, || state(&agent), || readiness(&agent));
     answered.unwrap_or_else(|| not_found(&request))
 }
@@ -44,7 +49,7 @@
     } else if is_leaving {
         "the host is leaving; use another".to_owned()
     } else {
-        "no configuration yet: the platform and all peers are away or hold none".to_owned()
+        format!("no configuration: {}", agent.spread.lack())
     };
     Readiness {
         ready,
@@ -63,5 +68,8 @@
         "now_ms": agent.timer.now(),
         "view": view,
         "members": agent.members(|m| json!(m)),
+        "is_fresh": agent.spread.is_fresh(),
+        "adoptions": agent.spread.adoptions(),
+        "traffic": base::traffic::total(),
     })
 }
--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -2,9 +2,12 @@
 //! router what it needs.
 
 pub mod admin;
+pub mod commit;
 pub mod drain;
 pub mod heartbeats;
 pub mod members;
+pub mod operate;
 pub mod run;
 pub mod shared;
+pub mod spread;
 pub mod watch;
--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use membership::Members;
+use peer::agent::{About, Ask};
 use peer::serve::AgentServer;
 use settings::agent::Agent as Settings;
 use thiserror::Error;
@@ -12,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, drain, heartbeats, watch};
+use crate::{admin, drain, heartbeats, spread, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
@@ -39,11 +40,12 @@
     );
     let agent = Arc::new(Agent::new(settings, Timer::start()));
     let loops = [
-        tokio::spawn(watch::configuration(agent.clone())),
+        tokio::spawn(spread::run(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
         tokio::spawn(heartbeats::run(agent.clone())),
     ];
     let (viewed, beaten, left) = (agent.clone(), agent.clone(), agent.clone());
+    let (asked, own) = (agent.clone(), agent.clone());
     let server = AgentServer {
         view: move |revision, version, wait| {
             let agent = viewed.clone();
@@ -54,6 +56,16 @@
         },
         heartbeat: move |beat| heartbeats::answer(&beaten, beat),
         leave: move || left.members(Members::leave),
+        changes: move |ask: Ask| {
+            let agent = asked.clone();
+            async move { spread::answer(&agent, ask).await }
+        },
+        about: move || About {
+            host: own.settings.host.clone(),
+            incarnation: own.incarnation,
+            admin: own.settings.listen.admin,
+            version: own.version(),
+        },
     };
     let end = CancellationToken::new();
     let serving = tokio::spawn(peer::serve::agent(peers, end.clone(), server));
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -9,19 +9,20 @@
 use peer::agent::View;
 use platform::client::Platform;
 use platform::wire::HostList;
-use profiles::document::Document;
+use profiles::held::Held;
 use settings::agent::Agent as Settings;
 use timer::Timer;
 use tokio::sync::watch;
 
 use crate::heartbeats::Links;
 use crate::members::{backend_views, host_views};
+use crate::spread::Spread;
 
 /// What an agent knows.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// The configuration, if any was seen.
-    pub document: Option<Document>,
+    /// The configuration.
+    pub held: Held,
     /// The host list.
     pub hosts: HostList,
 }
@@ -39,6 +40,8 @@
     /// Connections to other agents.
     pub links: Links,
     members: Mutex<Members>,
+    /// How the configuration spreads.
+    pub spread: Spread,
     known: Mutex<Known>,
     revision: watch::Sender<u64>,
 }
@@ -63,6 +66,7 @@
             platform,
             links: Links::default(),
             members: Mutex::new(Members::new(own, policy)),
+            spread: Spread::default(),
             known: Mutex::default(),
             revision: watch::Sender::new(1),
         }
@@ -108,7 +112,7 @@
 
     /// The version of the configuration; 0 if there is none.
     pub fn version(&self) -> Version {
-        self.read(|k| k.document.as_ref().map_or(Version(0), |d| d.version))
+        self.read(|k| k.held.version())
     }
 
     /// Waits until the revision differs from `revision` or `wait` has passed.
@@ -128,12 +132,12 @@
             (host_views(m), backend_views(m, now), leaving)
         });
         self.read(|known| {
-            let held = known.document.as_ref();
+            let held = known.held.document();
             View {
                 revision,
                 incarnation: self.incarnation,
-                document: held.filter(|d| d.version != version).cloned(),
-                version: held.map_or(Version(0), |d| d.version),
+                document: (held.version > version).then(|| held.clone()),
+                version: held.version,
                 hosts,
                 backends,
                 drain,
--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -52,7 +52,7 @@
     let backends: Vec<Value> = snapshot
         .backends
         .iter()
-        .map(|b| json!({ "seen": b.seen, "own": b.own() }))
+        .map(|b| json!({ "seen": b.seen, "own": b.own(), "health": b.health() }))
         .collect();
     json!({
         "host": router.settings.host,
@@ -64,6 +64,7 @@
         "agent": snapshot.agent,
         "hosts": snapshot.hosts,
         "backends": backends,
+        "admission": router.admission.dump(),
         "requests": router.registry.dump(),
         "journals": {
             "count": journals,
--- a/crates/gooseberry-router/src/config.rs
+++ b/crates/gooseberry-router/src/config.rs
@@ -121,6 +121,7 @@
         router.drain.cancel();
     }
     let held = router.snapshot();
+    let now = router.timer.now();
     let document = match view.document {
         Some(document) if document.version > held.document.version => {
             log::info!(
@@ -135,7 +136,7 @@
     let backends = view
         .backends
         .into_iter()
-        .map(|seen| Arc::new(Backend::adopt(seen, &held.backends)))
+        .map(|seen| Arc::new(Backend::adopt(now, seen, &held.backends)))
         .collect();
     router.swap(Snapshot {
         document,
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -1,6 +1,7 @@
 //! What the parts of a router share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use arc_swap::ArcSwap;
 use base::prelude::*;
@@ -10,6 +11,7 @@
 use timer::Timer;
 use tokio_util::sync::CancellationToken;
 
+use crate::admit::Admission;
 use crate::config::Snapshot;
 use crate::links::Links;
 use crate::registry::Registry;
@@ -33,6 +35,10 @@
     pub metrics: cadence::StatsdClient,
     /// Cancelled when the host takes no new work.
     pub drain: CancellationToken,
+    /// The limits and the queue.
+    pub admission: Admission,
+    /// The number of backend servers chosen so far.
+    pub turn: AtomicU64,
     snapshot: ArcSwap<Snapshot>,
 }
 
@@ -48,6 +54,8 @@
             registry: Registry::default(),
             metrics,
             drain: CancellationToken::new(),
+            admission: Admission::default(),
+            turn: AtomicU64::new(0),
             snapshot: ArcSwap::default(),
         }
     }
--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -50,6 +50,8 @@
     pub prompt: Arc<str>,
     /// The most tokens in the output.
     pub max_tokens: u64,
+    /// When the first token must be there.
+    pub deadline: Millis,
 }
 
 /// The state of one generation in flight.
@@ -213,6 +215,7 @@
         if !self.attempts.is_current(news.attempt, news.connection) {
             return;
         }
+        self.attempts.observe(self.router.timer.now(), &news);
         if let Some(incarnation) = news.incarnation {
             self.attempts.identify(news.attempt, incarnation);
         }
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -74,6 +74,13 @@
         faults.extend(name_fault("data_centre", self.data_centre.as_str()));
         faults.extend(address_fault("listen.peers", self.listen.peers));
         faults.extend(address_fault("agent", self.agent));
+        if let Some(digest) = &self.operator_digest
+            && !profiles::check::is_digest(digest)
+        {
+            let remedy = "write the 64 digits that `gooseberryctl digest` prints for the key";
+            let place = "operator_digest".to_owned();
+            faults.push(Fault::new(place, format!("{digest:?}"), remedy));
+        }
         if self.journal.retain_ms < self.journal.idle_ms {
             faults.push(Fault::new(
                 "journal.retain_ms".to_owned(),
