--- a/crates/gooseberry-bench/src/faults.rs
+++ b/crates/gooseberry-bench/src/faults.rs
@@ -9,6 +9,8 @@
 mod site;
 mod wave;
 
+pub(crate) use report::commit;
+
 use std::process::Stdio;
 use std::time::Duration;
 
--- a/crates/gooseberry-bench/src/faults/report.rs
+++ b/crates/gooseberry-bench/src/faults/report.rs
@@ -127,7 +127,7 @@
 }
 
 /// The commit of the code, if it is known.
-fn commit() -> Option<String> {
+pub(crate) fn commit() -> Option<String> {
     let mut command = Command::new("git");
     command.args(["-C", env!("CARGO_MANIFEST_DIR")]);
     let output = command
--- a/crates/gooseberry-bench/src/harness/caller.rs
+++ b/crates/gooseberry-bench/src/harness/caller.rs
@@ -110,6 +110,8 @@
     pub(crate) restarts: u64,
     /// How often it came back.
     pub(crate) repeats: u64,
+    /// Answers that began and did not end in order, and requests that were sent and not answered.
+    pub(crate) cuts: u64,
     /// Event ids that did not continue the one before.
     pub(crate) jumps: u64,
     /// Old connections that gave something other than the continuation of what was there.
@@ -153,6 +155,7 @@
             is_done: false,
             restarts: 0,
             repeats: 0,
+            cuts: 0,
             jumps: 0,
             strays: 0,
             error: None,
@@ -219,7 +222,13 @@
         let addr = self.hosts[host % self.hosts.len()];
         let request = self.request(addr, &self.body(), position);
         let (may_cross, may_hop) = (!manner.cross.is_cancelled(), !manner.hop.is_cancelled());
-        let response = web::client::send(addr, request, HEAD).await.ok()?;
+        let response = match web::client::send(addr, request, HEAD).await {
+            Ok(response) => response,
+            Err(e) => {
+                seen.cuts += u64::from(!e.is_unsent());
+                return None;
+            }
+        };
         if !response.status().is_success() {
             let body = web::client::read_whole(addr, response).await;
             seen.error = body.err().map(|e| Value::String(e.to_string()));
@@ -232,8 +241,12 @@
                 () = manner.cross.cancelled(), if may_cross => return Some(events),
                 () = manner.hop.cancelled(), if may_hop => return None,
             };
-            let event = event?;
+            let Some(event) = event else {
+                seen.cuts += 1;
+                return None;
+            };
             if take(&event, position, seen) {
+                seen.cuts += u64::from(!seen.is_done);
                 return None;
             }
         }
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use base::hash::key_digest;
 use base::prelude::*;
 use gooseberry_standin::{engine, platform as standin};
 use hyper::Method;
@@ -32,6 +33,9 @@
 /// The time limit of a call of the bench to a process.
 pub(crate) const CALL: Duration = Duration::from_secs(2);
 
+/// The operators' key.
+pub(crate) const OPERATOR: &str = "operator-key";
+
 /// The ports of the processes; each host has an address of its own.
 const CALLERS: u16 = 7001;
 const ROUTER_PEERS: u16 = 7002;
@@ -72,7 +76,10 @@
     pub(crate) router: Child,
     /// The agent.
     pub(crate) agent: Child,
+    /// Where operators ask its agent.
+    pub(crate) agent_admin: SocketAddr,
     router_file: PathBuf,
+    agent_file: PathBuf,
 }
 
 /// An engine.
@@ -170,6 +177,33 @@
         Ok(())
     }
 
+    /// Starts agent and router of a host again at their old addresses.
+    pub(crate) fn restart_host(&mut self, i: usize) -> Result<(), BenchError> {
+        let file = self.hosts[i].agent_file.clone();
+        self.hosts[i].agent = Child::start(&self.programs, "gooseberry-agent", &[], &file)?;
+        self.restart_router(i)
+    }
+
+    /// Puts an engine into the platform's host list as leaving or not.
+    pub(crate) async fn list_engine(
+        &self,
+        plan: &Plan,
+        i: usize,
+        leaving: bool,
+    ) -> Result<(), BenchError> {
+        let platform = Platform {
+            addr: self.platform_addr,
+            limit: CALL,
+        };
+        let name = engine_name(i);
+        let listed = host_list(plan, None).into_iter().find(|h| h.name == name);
+        if let Some(mut host) = listed {
+            host.leaving = leaving;
+            platform.put_host(&host).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until every router takes requests and sees every engine alive.
     pub(crate) async fn settle(&self) -> Result<(), BenchError> {
         for host in &self.hosts {
@@ -240,7 +274,9 @@
             admin: router.listen.admin,
             agent: Child::start(&self.programs, "gooseberry-agent", &[], &agent_file)?,
             router: Child::start(&self.programs, "gooseberry-router", &[], &router_file)?,
+            agent_admin: agent.listen.admin,
             router_file,
+            agent_file,
         });
         Ok(())
     }
@@ -305,7 +341,7 @@
         platform_ms: 1_000,
         journal: journal::store::Limits::default(),
         drain_ms: 60_000,
-        operator_digest: None,
+        operator_digest: Some(key_digest(OPERATOR)),
         log: log(),
         statsd: None,
     }
@@ -325,7 +361,7 @@
         load_ms: 250,
         peers: Vec::new(),
         spread: Way::default(),
-        operator_digest: None,
+        operator_digest: Some(key_digest(OPERATOR)),
         log: log(),
         statsd: None,
     }
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `gooseberry-bench`: experiments with real processes on loopback addresses.
 
 mod demo;
+mod drain;
 mod faults;
 #[expect(dead_code, reason = "later experiments use what these do not")]
 mod harness;
@@ -23,6 +24,9 @@
     /// Let engines, routers and connections fail while many answers are under way.
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
+    /// Replace every entry host and a third of the engines while answers are under way.
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain::options))] drain::Options),
 }
 
 #[tokio::main]
@@ -31,6 +35,7 @@
         Command::Demo(options) => demo::run(options).await,
         Command::Up(options) => up::run(options).await,
         Command::Faults(options) => faults::run(options).await,
+        Command::Drain(options) => drain::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
