--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod config;
 mod demo;
+mod drain;
 mod faults;
 #[expect(dead_code, reason = "later experiments use what these do not")]
 mod harness;
@@ -31,6 +32,9 @@
     /// Change the configuration under kills and partitions, and measure how it spreads.
     #[bpaf(command)]
     Config(#[bpaf(external(config::options))] config::Options),
+    /// Replace every entry host and a third of the engines while answers are under way.
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain::options))] drain::Options),
 }
 
 #[tokio::main]
@@ -41,6 +45,7 @@
         Command::Up(options) => up::run(options).await,
         Command::Faults(options) => faults::run(options).await,
         Command::Config(options) => config::run(options).await,
+        Command::Drain(options) => drain::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
