--- a/crates/gooseberry-agent/src/caches.rs
+++ b/crates/gooseberry-agent/src/caches.rs
@@ -8,9 +8,6 @@
 use crate::shared::{Agent, SharedAgent};
 use crate::watch::backends;
 
-/// The load reports between two looks at cache events.
-const PERIODS: u64 = 2;
-
 /// The most blocks followed for one engine; further ones are left out.
 const MAX_BLOCKS: usize = 4_096;
 
@@ -67,7 +64,7 @@
 
 /// Follows the cache events of all engines for ever.
 pub async fn follow(agent: SharedAgent) {
-    let mut ticks = agent.timer.every(Millis(agent.settings.load_ms * PERIODS));
+    let mut ticks = agent.timer.every(Millis(agent.settings.load_ms));
     loop {
         ticks.next().await;
         for (backend, addr) in backends(&agent) {
@@ -79,7 +76,7 @@
 
 /// Reads the events of one engine.
 async fn read(agent: &Agent, backend: BackendId, addr: SocketAddr) {
-    let limit = Millis(agent.settings.load_ms * PERIODS).duration();
+    let limit = Millis(agent.settings.load_ms).duration();
     let after = agent.read(|known| known.caches.get(&backend).map_or(0, Held::seq));
     let Ok(news) = engine::client::cache_events(addr, after, limit).await else {
         return;
