--- a/crates/gooseberry-agent/src/caches.rs
+++ b/crates/gooseberry-agent/src/caches.rs
@@ -4,12 +4,10 @@
 
 use base::prelude::*;
 use engine::wire::{CacheEvent, CacheEvents, is_sampled};
+use profiles::document::{Kind, Service};
 
 use crate::shared::{Agent, SharedAgent};
 
-/// The load reports between two looks at cache events.
-const PERIODS: u64 = 2;
-
 /// The most blocks followed for one engine; further ones are left out.
 const MAX_BLOCKS: usize = 4_096;
 
@@ -66,7 +64,7 @@
 
 /// Follows the cache events of all engines for ever.
 pub async fn follow(agent: SharedAgent) {
-    let mut ticks = agent.timer.every(Millis(agent.settings.load_ms * PERIODS));
+    let mut ticks = agent.timer.every(Millis(agent.settings.load_ms));
     loop {
         ticks.next().await;
         for (backend, addr) in engines(&agent) {
@@ -76,17 +74,24 @@
     }
 }
 
-/// The backend servers that answer.
+/// The engines that answer; a plain service knows nothing of cache events and would take the
+/// question for a call of its own.
 fn engines(agent: &Agent) -> Vec<(BackendId, SocketAddr)> {
+    let services = agent.read(|known| {
+        let is_model = |s: &&Service| s.kind == Kind::Model;
+        let models = known.held.document().services.iter().filter(is_model);
+        models.map(|s| s.name.clone()).collect::<Vec<_>>()
+    });
     agent.members(|members| {
         let live = members.backends().filter(|(_, b)| b.is_alive());
-        live.map(|(id, b)| (id.clone(), b.listed.addr)).collect()
+        let engines = live.filter(|(_, b)| services.binary_search(&b.listed.service).is_ok());
+        engines.map(|(id, b)| (id.clone(), b.listed.addr)).collect()
     })
 }
 
 /// Reads the events of one engine.
 async fn read(agent: &Agent, backend: BackendId, addr: SocketAddr) {
-    let limit = Millis(agent.settings.load_ms * PERIODS).duration();
+    let limit = Millis(agent.settings.load_ms).duration();
     let after = agent.read(|known| known.caches.get(&backend).map_or(0, Blocks::seq));
     let Ok(news) = engine::client::cache_events(addr, after, limit).await else {
         return;
