--- a/crates/gooseberry-router/src/admin.rs
+++ b/crates/gooseberry-router/src/admin.rs
@@ -2,20 +2,40 @@
 
 use std::sync::Arc;
 
-use hyper::Request;
 use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use telemetry::admin::{Readiness, answer, not_found};
-use web::Response;
+use telemetry::admin::{Readiness, answer, not_found, refusal};
+use web::{Response, reply};
 
 use crate::context::Router;
 
 /// Answers one request.
 pub async fn handle(router: Arc<Router>, request: Request<Incoming>) -> Response {
+    if request.method() == Method::POST && request.uri().path() == "/v1/drain" {
+        return drain(&router, &request);
+    }
     let answered = answer(&request, || state(&router), || readiness(&router));
     answered.unwrap_or_else(|| not_found(&request))
 }
 
+/// Has the host take no new work, if an operator asks for it.
+fn drain(router: &Router, request: &Request<Incoming>) -> Response {
+    let settings = &router.settings;
+    let digest = settings.operator_digest.as_deref();
+    if let Some(refused) = refusal(&settings.host, digest, request) {
+        return refused;
+    }
+    log::info!("drain asked for by an operator host={}", settings.host);
+    router.drain.cancel();
+    let state = json!({
+        "host": settings.host,
+        "leaving": true,
+        "in_flight": router.registry.len(),
+    });
+    reply::json(StatusCode::ACCEPTED, &state)
+}
+
 fn readiness(router: &Router) -> Readiness {
     let ready = router.ready();
     Readiness {
@@ -32,7 +52,7 @@
     let backends: Vec<Value> = snapshot
         .backends
         .iter()
-        .map(|b| json!({ "seen": b.seen, "own": b.own() }))
+        .map(|b| json!({ "seen": b.seen, "own": b.own(), "health": b.health() }))
         .collect();
     json!({
         "host": router.settings.host,
@@ -41,8 +61,10 @@
         "now_ms": router.timer.now(),
         "version": snapshot.document.version,
         "drain": snapshot.drain || router.drain.is_cancelled(),
+        "agent": snapshot.agent,
         "hosts": snapshot.hosts,
         "backends": backends,
+        "admission": router.admission.dump(),
         "requests": router.registry.dump(),
         "claims": router.claims.dump(),
         "journals": {
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -1,6 +1,7 @@
 //! What the parts of a router share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use arc_swap::ArcSwap;
 use base::prelude::*;
@@ -10,6 +11,7 @@
 use timer::Timer;
 use tokio_util::sync::CancellationToken;
 
+use crate::admit::Admission;
 use crate::claims::Claims;
 use crate::config::Snapshot;
 use crate::links::Links;
@@ -39,6 +41,10 @@
     pub metrics: cadence::StatsdClient,
     /// Cancelled when the host takes no new work.
     pub drain: CancellationToken,
+    /// The limits and the queue.
+    pub admission: Admission,
+    /// The number of backend servers chosen so far.
+    pub turn: AtomicU64,
     snapshot: ArcSwap<Snapshot>,
 }
 
@@ -56,6 +62,8 @@
             budgets: Budgets::default(),
             metrics,
             drain: CancellationToken::new(),
+            admission: Admission::default(),
+            turn: AtomicU64::new(0),
             snapshot: ArcSwap::default(),
         }
     }
@@ -93,10 +101,18 @@
         choice::candidates(key, &self.candidates(snapshot.hosts.iter().filter(usable)))
     }
 
-    /// The hosts that may hold a journal of `key`.
+    /// The hosts that may hold a journal of `key`: the first ones of each data centre, since an
+    /// owner prefers witnesses of its own, wherever that is.
     pub fn holders(&self, key: &RequestKey) -> Vec<HostView> {
         let snapshot = self.snapshot();
-        let hosts = choice::holders(key, &self.candidates(snapshot.hosts.iter()));
+        let mut centres: Vec<&DataCentre> = snapshot.hosts.iter().map(|h| &h.data_centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        let mut hosts = Vec::new();
+        for centre in centres {
+            let inside = snapshot.hosts.iter().filter(|h| h.data_centre == *centre);
+            hosts.extend(choice::holders(key, &self.candidates(inside)));
+        }
         let is_holder = |h: &&HostView| hosts.contains(&h.host);
         snapshot.hosts.iter().filter(is_holder).cloned().collect()
     }
--- a/crates/gooseberry-router/src/lib.rs
+++ b/crates/gooseberry-router/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are made in the pure crates; this one carries them out.
 
 pub mod admin;
+pub mod admit;
 pub mod auth;
 pub mod backends;
 pub mod caller;
@@ -11,6 +12,7 @@
 pub mod completions;
 pub mod config;
 pub mod context;
+pub mod drain;
 pub mod drive;
 pub mod errors;
 pub mod http;
--- a/crates/gooseberry-router/src/services/job.rs
+++ b/crates/gooseberry-router/src/services/job.rs
@@ -9,6 +9,7 @@
 use profiles::document::{Profile, Service};
 use service::client::Call;
 
+use crate::backends::Want;
 use crate::caller::KEY_HEADER;
 use crate::context::Router;
 
@@ -26,6 +27,8 @@
 pub struct Job {
     /// The service.
     pub service: ServiceName,
+    /// The profile under which it runs.
+    pub profile: Profile,
     /// The key as the caller knows it.
     pub key: String,
     /// The name of the call in logs and dumps.
@@ -72,6 +75,7 @@
             row: row_key(&service.name, workspace, &key),
             name: RequestKey(format!("{}/{workspace}/{key}", service.name)),
             service: service.name.clone(),
+            profile: profile.clone(),
             key,
             origin,
             digest,
@@ -84,6 +88,18 @@
         }
     }
 
+    /// What a backend server must be to get the call.
+    pub fn want<'a>(&'a self, avoid: &'a [BackendId]) -> Want<'a> {
+        Want {
+            service: &self.service,
+            profile: &self.profile,
+            model: None,
+            blocks: &[],
+            avoid,
+            is_resume: false,
+        }
+    }
+
     /// The time after which the row may be cleared, in milliseconds since 1970.
     pub fn until_ms(&self) -> u64 {
         wall_ms().saturating_add(self.retain_ms)
--- a/crates/gooseberry-router/src/services/once.rs
+++ b/crates/gooseberry-router/src/services/once.rs
@@ -198,9 +198,7 @@
 
 /// Chooses a server and connects to it, so that nothing but the call itself follows the check.
 async fn pick(router: &Router, job: &Job, avoid: &[BackendId]) -> Done {
-    let near = &router.settings.data_centre;
-    let placed = place(&router.snapshot(), near, &job.service, None, &[], avoid);
-    let Ok(placed) = placed else {
+    let Ok(mut placed) = place(router, &job.want(avoid)) else {
         return Event::NoServer.into();
     };
     let seen = &placed.backend.seen;
@@ -216,8 +214,10 @@
                 router.settings.host,
                 seen.backend
             );
+            let failed = Some(seen.backend.clone());
+            placed.failed(router.timer.now());
             Done {
-                failed: Some(seen.backend.clone()),
+                failed,
                 ..Event::NoServer.into()
             }
         }
@@ -227,17 +227,21 @@
 /// Sends the call.
 async fn send(context: &Context, ready: Option<(Placed, Connection)>) -> Done {
     let (router, job) = (&context.router, &context.job);
-    let Some((placed, connection)) = ready else {
+    let Some((mut placed, connection)) = ready else {
         return Event::Unsent.into();
     };
     let limit = job.times.deadline.since(router.timer.now()).duration();
     match connection.call(job.call.clone(), limit).await {
-        Ok(reply) => Done {
-            event: Event::Answered(outcome::outcome(job, &reply)),
-            reply: Some(reply),
-            ..Event::Woke.into()
-        },
+        Ok(reply) => {
+            placed.first_token(router.timer.now());
+            Done {
+                event: Event::Answered(outcome::outcome(job, &reply)),
+                reply: Some(reply),
+                ..Event::Woke.into()
+            }
+        }
         Err(cause) => {
+            placed.failed(router.timer.now());
             log::warn!(
                 "call lost key={} host={} backend={} cause=\"{cause}\"",
                 job.name,
--- a/crates/gooseberry-router/src/services/repeat.rs
+++ b/crates/gooseberry-router/src/services/repeat.rs
@@ -7,6 +7,7 @@
 use cadence::prelude::*;
 use calls::repeat::{Budget, Failure, Repeat, Try};
 use hyper::StatusCode;
+use peer::agent::BackendView;
 use profiles::document::Retry;
 use service::client::{Connection, Reply};
 use web::Response;
@@ -89,11 +90,24 @@
 
 /// Makes one try.
 async fn attempt(router: &Router, job: &Job, next: &Try) -> Result<Reply, Missed> {
-    let near = &router.settings.data_centre;
-    let snapshot = router.snapshot();
-    let placed = place(&snapshot, near, &job.service, None, &[], &next.avoid)
-        .map_err(|_: NoBackend| Missed::Unsent(None))?;
-    let seen = &placed.backend.seen;
+    let mut placed =
+        place(router, &job.want(&next.avoid)).map_err(|_: NoBackend| Missed::Unsent(None))?;
+    let answered = attempt_at(router, job, next, &placed.backend.seen).await;
+    let now = router.timer.now();
+    match answered {
+        Ok(_) => placed.first_token(now),
+        Err(_) => placed.failed(now),
+    }
+    answered
+}
+
+/// Makes one try at a server.
+async fn attempt_at(
+    router: &Router,
+    job: &Job,
+    next: &Try,
+    seen: &BackendView,
+) -> Result<Reply, Missed> {
     let backend = || seen.backend.clone();
     let left = || next.until.since(router.timer.now()).duration();
     // Each try has a connection of its own, so a silent one is never used again.
--- /dev/null
+++ b/crates/gooseberry-router/tests/resume_target.rs
@@ -0,0 +1,108 @@
+//! Where output goes on after a loss: spread over engines, past those that failed, and to the one
+//! that holds the prompt if the profile says so.
+
+#[expect(dead_code, reason = "each test uses a part of the pipe")]
+mod common;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use engine::wire::{is_sampled, prompt_blocks};
+use generation::policy::Mode;
+use gooseberry_router::backends::{Backend, Placed, Want, place};
+use gooseberry_router::config::Snapshot;
+use gooseberry_router::context::Router;
+use peer::agent::BackendView;
+use profiles::document::Profile;
+use serde_json::json;
+
+/// A prompt of many blocks.
+fn prompt() -> String {
+    (0..400).map(|n| format!("scene {n:08} ")).collect()
+}
+
+fn backend(name: &str, centre: &str, blocks: Vec<u64>) -> Arc<Backend> {
+    let seen = BackendView {
+        backend: BackendId(name.to_owned()),
+        service: ServiceName::from("draft-model"),
+        data_centre: DataCentre::from(centre),
+        addr: ([127, 0, 0, 1], 1).into(),
+        incarnation: None,
+        leaving: false,
+        alive: true,
+        running: 0,
+        queued: 0,
+        slots: 32,
+        models: Vec::new(),
+        age_ms: 0,
+        blocks,
+    };
+    Arc::new(Backend::adopt(Millis(0), seen, &[]))
+}
+
+/// A router in data centre `vn-south-a` that knows these backend servers.
+fn router(backends: Vec<Arc<Backend>>) -> Arc<Router> {
+    let router = common::router();
+    router.swap(Snapshot {
+        backends,
+        ..Snapshot::default()
+    });
+    router
+}
+
+/// Places a resume and returns its backend server.
+fn resume(router: &Router, blocks: &[u64], mode: Mode) -> (String, Placed) {
+    let profile = json!({ "name": "drafts", "resume": { "mode": mode, "resumes": 2 } });
+    let profile: Profile = serde_json::from_value(profile).expect("a profile");
+    let want = Want {
+        service: &ServiceName::from("draft-model"),
+        profile: &profile,
+        model: None,
+        blocks,
+        avoid: &[],
+        is_resume: true,
+    };
+    let placed = place(router, &want).expect("a backend server is usable");
+    (placed.backend.seen.backend.0.clone(), placed)
+}
+
+#[test]
+fn far_beyond_cap() {
+    let near = backend("near", "vn-south-a", Vec::new());
+    let far = backend("far", "vn-south-b", Vec::new());
+    let router = router(vec![near, far]);
+    let mut placed: Vec<(String, Placed)> = (0..4)
+        .map(|_| resume(&router, &[], Mode::Latency))
+        .collect();
+    let names: Vec<&str> = placed.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["near", "near", "far", "far"]);
+    // Once output goes on, the near one takes more.
+    placed[0].1.first_token(router.timer.now());
+    assert_eq!(resume(&router, &[], Mode::Latency).0, "near");
+}
+
+#[test]
+fn suspect_passed_over() {
+    let failed = backend("failed", "vn-south-a", Vec::new());
+    let sound = backend("sound", "vn-south-b", Vec::new());
+    let router = router(vec![failed.clone(), sound]);
+    failed.suspect(router.timer.now());
+    assert_eq!(resume(&router, &[], Mode::Latency).0, "sound");
+    failed.trust();
+    assert_eq!(resume(&router, &[], Mode::Latency).0, "failed");
+}
+
+#[test]
+fn cached_preferred() {
+    let blocks = prompt_blocks(&prompt());
+    let mut held: Vec<u64> = blocks.iter().copied().filter(|b| is_sampled(*b)).collect();
+    held.sort_unstable();
+    assert!(!held.is_empty());
+    let empty = backend("empty", "vn-south-a", Vec::new());
+    let holder = backend("holder", "vn-south-b", held);
+    let router = router(vec![empty, holder.clone()]);
+    assert_eq!(resume(&router, &blocks, Mode::Latency).0, "empty");
+    assert_eq!(resume(&router, &blocks, Mode::Cost).0, "holder");
+    holder.suspect(router.timer.now());
+    assert_eq!(resume(&router, &blocks, Mode::Cost).0, "empty");
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,15 +4,19 @@
 use std::time::{Duration, Instant};
 
 use base::prelude::*;
+use base::traffic;
 use journal::record::{Append, Refusal};
+use membership::Beat;
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::io::{InspectReader, InspectWriter};
 
-use crate::agent::{AgentPeerClient, View};
+use crate::agent::{About, AgentPeerClient, Ask, Changes, View};
 use crate::router::{RouterPeerClient, Sealed};
 
 /// The largest message between processes, in bytes.
@@ -45,11 +49,22 @@
     },
 }
 
-/// The framing of messages on both sides.
-pub(crate) fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
+/// A connection whose bytes are counted.
+type Counted = InspectReader<InspectWriter<TcpStream, fn(&[u8])>, fn(&[u8])>;
+
+/// A connection as a sequence of messages.
+pub(crate) type Frames = Framed<Counted, LengthDelimitedCodec>;
+
+/// The messages of a connection, on either side.
+pub(crate) fn frames(stream: TcpStream) -> Frames {
+    // Without this, small frames wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let written: InspectWriter<_, fn(&[u8])> = InspectWriter::new(stream, traffic::sent);
+    let counted: Counted = InspectReader::new(written, traffic::received);
+    let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_codec()
+        .new_codec();
+    Framed::new(counted, codec)
 }
 
 /// Declares a link for the client of one service.
@@ -75,24 +90,23 @@
                 self.addr
             }
 
-            /// The client over the open connection, or over a new one.
-            async fn client(&self) -> Result<$client, LinkError> {
+            /// The client over the open connection, or over a new one; and whether it was open.
+            async fn client(&self) -> Result<($client, bool), LinkError> {
                 let mut slot = self.client.lock().await;
                 if let Some(client) = slot.as_ref() {
-                    return Ok(client.clone());
+                    return Ok((client.clone(), true));
                 }
                 let addr = self.addr;
                 let refused = |cause: String| LinkError::Connect { addr, cause };
-                let mut connecting =
-                    tarpc::serde_transport::tcp::connect(addr, tokio_serde::formats::MessagePack::default);
-                connecting.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-                let transport = timeout(CONNECT_LIMIT, connecting)
+                let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr))
                     .await
                     .map_err(|e| refused(e.to_string()))?
                     .map_err(|e| refused(e.to_string()))?;
+                let format = tokio_serde::formats::MessagePack::default();
+                let transport = tarpc::serde_transport::new(frames(stream), format);
                 let client = $client::new(tarpc::client::Config::default(), transport).spawn();
                 *slot = Some(client.clone());
-                Ok(client)
+                Ok((client, false))
             }
 
             /// Closes the connection, so that the next call opens a new one.
@@ -101,20 +115,43 @@
             }
 
             /// Makes one call within `limit`; the connection is given up if it is not answered.
+            ///
+            /// A connection that was open before may end at a process that is gone by now, so the
+            /// call is made once more over a new one. Calls between peers may be received twice.
             async fn call<T, F>(
                 &self,
                 limit: Duration,
-                run: impl FnOnce($client, Context) -> F,
+                run: impl Fn($client, Context) -> F,
+            ) -> Result<T, LinkError>
+            where
+                F: Future<Output = Result<T, RpcError>>,
+            {
+                let deadline = Instant::now() + limit;
+                let (client, was_open) = self.client().await?;
+                let answer = self.try_call(client, deadline, &run).await;
+                if answer.is_ok() || !was_open || Instant::now() >= deadline {
+                    return answer;
+                }
+                let (client, _) = self.client().await?;
+                self.try_call(client, deadline, &run).await
+            }
+
+            /// Makes one call over the connection of `client`.
+            async fn try_call<T, F>(
+                &self,
+                client: $client,
+                deadline: Instant,
+                run: &impl Fn($client, Context) -> F,
             ) -> Result<T, LinkError>
             where
                 F: Future<Output = Result<T, RpcError>>,
             {
                 let addr = self.addr;
                 let lost = |cause: String| LinkError::Lost { addr, cause };
-                let client = self.client().await?;
                 let mut context = context::current();
-                context.deadline = Instant::now() + limit + GRACE;
-                let answer = match timeout(limit, run(client, context)).await {
+                context.deadline = deadline + GRACE;
+                let left = deadline.saturating_duration_since(Instant::now());
+                let answer = match timeout(left, run(client, context)).await {
                     Ok(Ok(answer)) => return Ok(answer),
                     Ok(Err(e)) => lost(e.to_string()),
                     Err(e) => lost(e.to_string()),
@@ -148,8 +185,11 @@
         batch: Vec<Append>,
         limit: Duration,
     ) -> Result<Vec<Result<Offset, Refusal>>, LinkError> {
-        self.call(limit, |c, ctx| async move { c.append(ctx, batch).await })
-            .await
+        self.call(limit, |c, ctx| {
+            let batch = batch.clone();
+            async move { c.append(ctx, batch).await }
+        })
+        .await
     }
 
     /// Seals a journal at the peer.
@@ -164,9 +204,9 @@
         digest: u64,
         limit: Duration,
     ) -> Result<Result<Sealed, Refusal>, LinkError> {
-        let key = key.clone();
-        self.call(limit, |c, ctx| async move {
-            c.seal(ctx, key, epoch, digest).await
+        self.call(limit, |c, ctx| {
+            let key = key.clone();
+            async move { c.seal(ctx, key, epoch, digest).await }
         })
         .await
     }
@@ -182,11 +222,10 @@
         epoch: Epoch,
         limit: Duration,
     ) -> Result<(), LinkError> {
-        let key = key.clone();
-        self.call(
-            limit,
-            |c, ctx| async move { c.close(ctx, key, epoch).await },
-        )
+        self.call(limit, |c, ctx| {
+            let key = key.clone();
+            async move { c.close(ctx, key, epoch).await }
+        })
         .await
     }
 }
@@ -209,4 +248,47 @@
         })
         .await
     }
+
+    /// Asks an agent for newer versions of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn changes(&self, ask: Ask, limit: Duration) -> Result<Changes, LinkError> {
+        self.call(limit, |c, ctx| async move { c.changes(ctx, ask).await })
+            .await
+    }
+
+    /// Asks an agent for itself.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn about(&self, limit: Duration) -> Result<About, LinkError> {
+        self.call(limit, |c, ctx| async move { c.about(ctx).await })
+            .await
+    }
+
+    /// Sends a heartbeat and returns that of the peer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn heartbeat(&self, beat: Beat, limit: Duration) -> Result<Beat, LinkError> {
+        self.call(limit, |c, ctx| {
+            let beat = beat.clone();
+            async move { c.heartbeat(ctx, beat).await }
+        })
+        .await
+    }
+
+    /// Tells an agent that its host takes no new work.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn leave(&self, limit: Duration) -> Result<(), LinkError> {
+        self.call(limit, |c, ctx| async move { c.leave(ctx).await })
+            .await
+    }
 }
