standin: a plain service answers 404 to the engines' cache events

The agents ask every backend server for cache events, plain services too, and the stand-in counted each look as a run of a call with an empty key. Ruled out: a call that ran twice; the count belonged to the empty key, which no caller of the experiment uses. Change: the stand-in knows that path as none of its calls. Result: calls_smoke red before (runs_max 233), green after (28 s). Conclusion: the agent should ask only engines for cache events; a plain service of a user may do something else with that path. Left to the agent.

--- a/crates/gooseberry-standin/src/service.rs
+++ b/crates/gooseberry-standin/src/service.rs
@@ -102,6 +102,10 @@
         (_, "/faults") => return service.faults.switch(request).await,
         (&Method::GET, "/runs") => return reply::json(StatusCode::OK, &service.list()),
         (&Method::GET, "/v1/load") => return reply::json(StatusCode::OK, &service.load()),
+        // What is asked of engines only is no call of this service.
+        (&Method::GET, "/v1/cache/events") => {
+            return reply::json(StatusCode::NOT_FOUND, &"no such path");
+        }
         _ => {}
     }
     if service.faults.state().leaving {
