--- a/crates/gooseberry-bench/src/faults/site.rs
+++ b/crates/gooseberry-bench/src/faults/site.rs
@@ -103,6 +103,7 @@
             },
             platform: platform::Settings::default(),
             document: self.document(),
+            plain: PlainPlan::default(),
         }
     }
 
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -247,7 +247,7 @@
         for host in &self.hosts {
             until_ready(host.admin, &host.callers.to_string()).await?;
         }
-        self.until_seen(self.engines.len()).await
+        self.until_seen(self.engines.len() + self.plain.len()).await
     }
 
     /// Starts an engine again at its old address.
