membership: other data centres hear at once of what leaves

Agents of other data centres heard of it with the next slow beat, up to 3 s later.

Ruled out: faster beats between data centres, which would cost as much at all other times.

Change: an agent that learns that something of its data centre leaves has its next beats go out at once, also to the agents of other data centres with which it exchanges beats; what it heard from a neighbour goes to those only. `Own` has a module of its own.

Red before green: without the beats to other data centres tests/scenarios/centres.txt:24 fails.

--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use membership::listed::Place;
-use membership::members::Own;
+use membership::own::Own;
 use membership::{Members, Policy};
 use peer::agent::View;
 use platform::client::Platform;
--- a/crates/membership/src/hosts.rs
+++ b/crates/membership/src/hosts.rs
@@ -158,6 +158,8 @@
     challenge: u64,
     /// When a beat was last sent to it.
     pub beaten: Option<Millis>,
+    /// Whether beats go to and fro between it and this agent.
+    pub exchanges: bool,
     /// Whether a beat is due now, whenever the last one was sent.
     pub is_due: bool,
     /// The number of the change by which this agent's belief came about.
@@ -178,6 +180,7 @@
             acked: 0,
             challenge: 0,
             beaten: None,
+            exchanges: false,
             is_due: false,
             changed: 0,
         }
@@ -193,6 +196,7 @@
     /// The silence before it must have been judged, so that it shows after a pause of either side.
     pub fn hear(&mut self, now: Millis, beat: &Beat, echo: u64) {
         self.heard = now;
+        self.exchanges = true;
         self.synced |= beat.whole;
         if self.synced {
             self.seen = self.seen.max(beat.seq);
@@ -247,6 +251,7 @@
     pub fn reset(&mut self) {
         self.resync();
         self.acked = 0;
+        self.exchanges = false;
         self.challenge = 0;
         self.standing = Standing::Unknown;
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod listed;
 pub mod members;
+pub mod own;
 pub mod policy;
 
 pub use beat::Beat;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -9,8 +9,9 @@
 
 use crate::backends::{Backend, Changed, Report};
 use crate::beat::{Beat, HostNote};
-use crate::hosts::{Host, Life, Seen, Standing};
+use crate::hosts::{Host, Seen, Standing};
 use crate::listed::{ListedBackend, ListedHost, Place};
+use crate::own::Own;
 use crate::policy::{Policy, times};
 
 /// With how many other data centres an agent exchanges beats.
@@ -38,37 +39,6 @@
     },
 }
 
-/// The host of this agent.
-#[derive(Clone, Debug, Serialize)]
-pub struct Own {
-    /// The host.
-    pub host: HostId,
-    /// Where it is reached.
-    pub place: Place,
-    /// Whether the host list has confirmed where it is reached.
-    pub is_placed: bool,
-    /// The life of this agent, and whether the host takes no new work.
-    pub life: Life,
-}
-
-impl Own {
-    /// A host whose agent starts now.
-    pub fn new(now: Millis, host: HostId, place: Place, incarnation: Incarnation) -> Self {
-        let life = Life::newborn(now, incarnation);
-        Self {
-            host,
-            place,
-            is_placed: false,
-            life,
-        }
-    }
-
-    /// The life of this agent.
-    pub fn incarnation(&self) -> Incarnation {
-        self.life.incarnation.unwrap_or_default()
-    }
-}
-
 /// All members.
 #[derive(Clone, Debug, Serialize)]
 pub struct Members {
@@ -128,7 +98,7 @@
         if !self.own.life.leaving {
             self.own.life.leaving = true;
             self.touch();
-            self.hurry();
+            self.hurry(true);
         }
     }
 
@@ -283,7 +253,7 @@
             None => known.missed(now, &self.own.host, self.policy.dead_polls),
         };
         if known.life.leaving && !was_leaving {
-            self.hurry();
+            self.hurry(true);
         }
         self.touch_backend(backend, changed);
     }
@@ -297,7 +267,7 @@
             self.own.life.list(now, listed.leaving, lag);
             if self.own.life.leaving != before {
                 self.touch();
-                self.hurry();
+                self.hurry(true);
             }
             return;
         }
@@ -327,9 +297,14 @@
         backend.life.list(now, listed.leaving, lag);
         backend.listed = listed.clone();
         let state = is_new || backend.life.is_leaving() != before;
-        if is_new && listed.data_centre == self.own.place.data_centre {
+        let has_left = backend.life.is_leaving() && !before;
+        let is_near = listed.data_centre == self.own.place.data_centre;
+        if is_new && is_near {
             backend.assign(&self.sharing);
         }
+        if has_left && is_near {
+            self.hurry(true);
+        }
         self.touch_backend(&listed.backend, Changed { state, load: false });
     }
 
@@ -371,7 +346,7 @@
         let suspect = self.policy.suspect_after(period);
         for (id, host) in self.hosts.iter_mut() {
             let is_near = host.place.data_centre == here;
-            if !is_near && !self.partners.contains(id) {
+            if !is_near && !host.is_due && !self.partners.contains(id) {
                 continue;
             }
             let hears = host.standing == Standing::Alive && now.since(host.heard) < suspect;
@@ -488,9 +463,17 @@
         let from = &beat.host;
         for note in beat.backends {
             let id = note.backend.clone();
-            let found = self.backends.get_mut(&id);
-            let changed = found.map(|b| b.noted(now, from, note));
-            self.touch_backend(&id, changed.unwrap_or_default());
+            let Some(backend) = self.backends.get_mut(&id) else {
+                continue;
+            };
+            let was_leaving = backend.life.leaving;
+            let is_near = backend.listed.data_centre == self.own.place.data_centre;
+            let changed = backend.noted(now, from, note);
+            let has_left = backend.life.leaving && !was_leaving;
+            self.touch_backend(&id, changed);
+            if has_left && is_near {
+                self.hurry(false);
+            }
         }
         for note in &beat.loads {
             let found = self.backends.get_mut(&note.backend);
@@ -547,10 +530,14 @@
     }
 
     /// Has the next beats go out at once, as something leaves and others must hear of it soon.
-    fn hurry(&mut self) {
+    ///
+    /// What was heard from another agent of the data centre goes to other data centres only.
+    fn hurry(&mut self, is_first: bool) {
         let here = self.own.place.data_centre.clone();
         for (_, host) in self.hosts.iter_mut() {
-            host.is_due |= host.place.data_centre == here && host.standing != Standing::Dead;
+            let is_near = host.place.data_centre == here;
+            let is_told = if is_near { is_first } else { host.exchanges };
+            host.is_due |= is_told && host.standing != Standing::Dead;
         }
     }
 
--- a/crates/membership/tests/sim/mod.rs
+++ b/crates/membership/tests/sim/mod.rs
@@ -5,7 +5,8 @@
 use base::prelude::*;
 use membership::backends::Report;
 use membership::listed::{ListedBackend, ListedHost, Place};
-use membership::members::{Action, Own};
+use membership::members::Action;
+use membership::own::Own;
 use membership::{Beat, Members, Policy};
 
 /// The step of the clock, in milliseconds.
