bench: load, slopes and overhead; balance: spill by room, not by place

Cause: nothing measured the choice and the limits on real processes. The first trials showed that a router whose own data centre is full put the overflow there all the same, so that engines queued while others were free, and that a third of prompts left their home at moderate load.

Ruled out: a wider share of an engine for each router (engines queue more).

`slopes` and `overhead` read the processor time and memory of the processes that they start. In the choice, servers with a free place go before the own data centre, and while a third of an engine's places are free each router may take one.

The deadline is kept by the router's queue but not at the engine, which does not yet act on the deadline that it is given.

--- a/crates/balance/src/choice.rs
+++ b/crates/balance/src/choice.rs
@@ -18,6 +18,9 @@
 /// places are always used.
 const AFFINITY_PERCENT: u64 = 125;
 
+/// Many places are free if they are at least one in so many.
+const AMPLE: u64 = 3;
+
 /// What is known of one server when a request is placed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Server<'a> {
@@ -126,7 +129,12 @@
 
 /// The servers of the most preferred data centre with room; all if none has room.
 fn nearest(servers: &[Server<'_>], among: &[usize], ask: &Ask<'_>) -> Vec<usize> {
-    let with_room = keep(among, |i| has_room(&servers[i], ask, i));
+    let is_free = |i: usize| servers[i].slots == 0 || known(&servers[i]) < servers[i].slots;
+    if !among.iter().any(|i| is_free(*i)) {
+        return among.to_vec();
+    }
+    let free = keep(among, is_free);
+    let with_room = keep(&free, |i| has_room(&servers[i], ask, i));
     let first = with_room.iter().map(|i| servers[*i].rank).min();
     keep(&with_room, |i| Some(servers[i].rank) == first)
 }
@@ -134,7 +142,8 @@
 /// Whether this router may place a request at a server without making it wait there.
 ///
 /// Each router takes an equal part of the places that the report shows as free, and those that its
-/// own requests have left since; a part of a place is drawn at random.
+/// own requests have left since; a part of a place is drawn at random, or a whole one while many are
+/// free.
 fn has_room(server: &Server<'_>, ask: &Ask<'_>, i: usize) -> bool {
     if server.slots == 0 {
         return true;
@@ -147,7 +156,8 @@
         return true;
     }
     let free = server.slots.saturating_sub(server.reported);
-    let rest = u64::from(turn(ask, i) % routers < free % routers);
+    let is_ample = free * AMPLE >= server.slots;
+    let rest = u64::from(is_ample || turn(ask, i) % routers < free % routers);
     server.since.unsigned_abs() < free / routers + rest
 }
 
@@ -167,11 +177,11 @@
 fn with_prefix(servers: &[Server<'_>], among: &[usize], ask: &Ask<'_>) -> Option<usize> {
     let prefix = ask.prefix?;
     let most = among.iter().map(|i| servers[*i].cached).max()?;
-    let total: u64 = among.iter().map(|i| load(&servers[*i], ask)).sum();
+    let total: u64 = among.iter().map(|i| known(&servers[*i])).sum();
     let bound = total * AFFINITY_PERCENT / 100 / among.len() as u64 + 1;
     let within = |i: &usize| {
         let server = &servers[*i];
-        load(server, ask) <= bound.max(server.slots / 2) && has_room(server, ask, *i)
+        known(server) <= bound.max(server.slots / 2) && has_room(server, ask, *i)
     };
     let order = |i: &usize| (load(&servers[*i], ask), turn(ask, *i));
     if most * 2 >= ask.blocks && most > 0 {
--- a/crates/gooseberry-bench/src/demo.rs
+++ b/crates/gooseberry-bench/src/demo.rs
@@ -17,7 +17,7 @@
 use crate::harness::{BenchError, build};
 
 /// The bearer key of the demo's workspace.
-const BEARER: &str = "demo-key";
+pub(crate) const BEARER: &str = "demo-key";
 
 /// The time from the first request to the kill.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
--- a/crates/gooseberry-bench/src/harness.rs
+++ b/crates/gooseberry-bench/src/harness.rs
@@ -3,8 +3,10 @@
 pub(crate) mod build;
 pub(crate) mod caller;
 pub(crate) mod child;
+pub(crate) mod fit;
 pub(crate) mod fleet;
 pub(crate) mod report;
+pub(crate) mod usage;
 
 use std::path::PathBuf;
 
--- a/crates/gooseberry-bench/src/harness/build.rs
+++ b/crates/gooseberry-bench/src/harness/build.rs
@@ -37,3 +37,15 @@
     }
     Ok(folder)
 }
+
+/// The commit of the sources, with a mark if they were changed since.
+pub(crate) async fn commit() -> String {
+    let folder = Path::new(MANIFEST).parent().unwrap_or(Path::new("."));
+    let mut command = Command::new("git");
+    command.args(["describe", "--always", "--dirty"]);
+    let output = command.current_dir(folder).output().await;
+    let text = output.map(|o| String::from_utf8_lossy(&o.stdout).trim().to_owned());
+    text.ok()
+        .filter(|t| !t.is_empty())
+        .unwrap_or_else(|| "unknown".to_owned())
+}
--- a/crates/gooseberry-bench/src/harness/child.rs
+++ b/crates/gooseberry-bench/src/harness/child.rs
@@ -64,6 +64,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// The id of the process; 0 once it has been waited for.
+    pub(crate) fn id(&self) -> u32 {
+        self.process.id().unwrap_or(0)
+    }
+
     /// Asks the process to stop in order.
     pub(crate) fn terminate(&mut self) {
         self.signal(Signal::TERM);
--- a/crates/gooseberry-bench/src/harness/fleet.rs
+++ b/crates/gooseberry-bench/src/harness/fleet.rs
@@ -134,6 +134,21 @@
         Ok(fleet)
     }
 
+    /// Ends all processes and waits for them, so that their addresses are free again.
+    pub(crate) async fn stop(mut self) {
+        let hosts = self
+            .hosts
+            .iter_mut()
+            .flat_map(|h| [&mut h.router, &mut h.agent]);
+        let engines = self.engines.iter_mut().map(|e| &mut e.process);
+        let platform = std::iter::once(&mut self.platform);
+        for child in hosts.chain(engines).chain(platform) {
+            child.kill();
+            // A killed process never ends with success.
+            let _ = child.wait().await;
+        }
+    }
+
     /// Starts an engine again at its old address.
     pub(crate) fn restart_engine(&mut self, i: usize) -> Result<(), BenchError> {
         let file = self.engines[i].file.clone();
--- /dev/null
+++ b/crates/gooseberry-bench/src/load/plan.rs
@@ -0,0 +1,169 @@
+//! The two deployments and their workspaces.
+
+use base::hash::key_digest;
+use base::prelude::*;
+use gooseberry_standin::{engine, platform};
+use profiles::document::{Document, Kind, Profile, Service, Workspace};
+use serde_json::json;
+
+use crate::harness::fleet::Plan;
+
+/// The entry hosts of a deployment.
+const HOSTS: usize = 8;
+
+/// The streams that one engine generates at once.
+const SLOTS: usize = 8;
+
+/// The time between tokens, in milliseconds.
+const GAP_MS: u64 = 40;
+
+/// The time to a first token without prefill, in milliseconds.
+const FIRST_MS: u64 = 20;
+
+/// The time that one uncached token of the prompt takes, in microseconds.
+const PREFILL_US: u64 = 200;
+
+/// The blocks in an engine's prefix cache: about seven script breakdowns.
+const CACHE_BLOCKS: usize = 512;
+
+/// The most tokens of one draft.
+pub(super) const TOKENS: u64 = 50;
+
+/// The mean length of a draft as a part of [`TOKENS`]: one in four ends at three quarters.
+const MEAN_LENGTH: f64 = 0.9375;
+
+/// The longest to the first token, in milliseconds.
+pub(super) const DEADLINE_MS: u64 = 3_000;
+
+/// A workspace and its part of the offered load.
+#[derive(Clone, Debug)]
+pub(super) struct Space {
+    /// The name, which is also its bearer key.
+    pub(super) name: String,
+    /// Its weight.
+    pub(super) share: u32,
+    /// Its part of the requests, in thousandths.
+    pub(super) part: u64,
+}
+
+/// One deployment.
+#[derive(Clone, Debug)]
+pub(super) struct Deployment {
+    /// The name.
+    pub(super) name: &'static str,
+    /// The service.
+    pub(super) service: &'static str,
+    /// The data centre of each entry host.
+    pub(super) hosts: Vec<DataCentre>,
+    /// The data centre of each engine.
+    pub(super) engines: Vec<DataCentre>,
+    /// The workspaces.
+    pub(super) workspaces: Vec<Space>,
+}
+
+/// Both deployments at their sizes of today.
+pub(super) fn deployments() -> [Deployment; 2] {
+    [
+        deployment(
+            "sao-mai",
+            "draft-model",
+            &["vn-south-a", "vn-south-b", "vn-south-c"],
+            25,
+        ),
+        deployment(
+            "nyah",
+            "modellszerver",
+            &["bp-kelet", "bp-nyugat", "godollo-dc", "fehervar-dc"],
+            20,
+        ),
+    ]
+}
+
+fn deployment(
+    name: &'static str,
+    service: &'static str,
+    places: &[&str],
+    engines: usize,
+) -> Deployment {
+    let spread = |count: usize| -> Vec<DataCentre> {
+        (0..count)
+            .map(|i| DataCentre::from(places[i % places.len()]))
+            .collect()
+    };
+    Deployment {
+        name,
+        service,
+        hosts: spread(HOSTS),
+        engines: spread(engines),
+        workspaces: workspaces(),
+    }
+}
+
+/// Three large workspaces, one of them greedy, among seven small ones.
+fn workspaces() -> Vec<Space> {
+    let large = [380, 230, 180];
+    let small = [30; 7];
+    let one = |(i, part): (usize, &u64)| Space {
+        name: format!("workspace-{i}"),
+        share: if *part > 100 { 2 } else { 1 },
+        part: *part,
+    };
+    large.iter().chain(&small).enumerate().map(one).collect()
+}
+
+impl Deployment {
+    /// The requests a second that the engines carry when all prefixes are cached.
+    pub(super) fn capacity(&self) -> f64 {
+        let hold_ms = FIRST_MS as f64 + TOKENS as f64 * MEAN_LENGTH * GAP_MS as f64;
+        (self.engines.len() * SLOTS) as f64 * 1_000.0 / hold_ms
+    }
+
+    /// The processes to start.
+    pub(super) fn plan(&self, document: Document) -> Plan {
+        Plan {
+            hosts: self.hosts.clone(),
+            engines: self.engines.clone(),
+            service: ServiceName::from(self.service),
+            engine: engine::Settings {
+                first_ms: FIRST_MS,
+                prefill_us: PREFILL_US,
+                gap_ms: GAP_MS,
+                slots: SLOTS,
+                cache_blocks: CACHE_BLOCKS,
+                ..engine::Settings::default()
+            },
+            platform: platform::Settings::default(),
+            document,
+        }
+    }
+
+    /// The configuration under one rule of choice.
+    pub(super) fn document(&self, rule: balance::Rule) -> Document {
+        let profile: Profile = serde_json::from_value(json!({
+            "name": "drafts",
+            "deadline_ms": DEADLINE_MS,
+            "choice": rule,
+        }))
+        .unwrap_or_else(|_| unreachable!("the profile's other fields have defaults"));
+        let workspace = |space: &Space| Workspace {
+            name: WorkspaceName::from(space.name.as_str()),
+            keys: vec![key_digest(&space.name)],
+            share: space.share,
+            running: 0,
+        };
+        Document {
+            version: Version(1),
+            profiles: vec![profile],
+            services: vec![Service {
+                name: ServiceName::from(self.service),
+                kind: Kind::Model,
+                profile: ProfileName::from("drafts"),
+                models: engine::Settings::default().models,
+                checks_fence: true,
+                may_repeat: Vec::new(),
+                retain_ms: 60_000,
+            }],
+            workspaces: self.workspaces.iter().map(workspace).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-bench/src/load/step.rs
@@ -0,0 +1,238 @@
+//! One step of constant load and what it showed.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use gooseberry_standin::engine::Stats;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use tokio::time::{Instant, sleep_until};
+
+use super::caller::{Ask, End, Seen};
+use super::plan::{DEADLINE_MS, Deployment, TOKENS};
+use crate::harness::BenchError;
+use crate::harness::fleet::Fleet;
+use crate::harness::report::{Times, times};
+
+/// The script breakdowns of one workspace.
+const SCRIPTS: usize = 2;
+
+/// The bytes of a script breakdown, which many prompts share.
+const SCRIPT_BYTES: usize = 4_096;
+
+/// The time from the start of a step after which tokens are counted.
+const WARM: Duration = Duration::from_secs(3);
+
+/// What a step showed.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Step {
+    /// The offered load in percent of the capacity.
+    pub(super) load: u64,
+    /// The requests sent.
+    pub(super) offered: u64,
+    /// Those with a whole answer.
+    pub(super) served: u64,
+    /// Those refused as not run.
+    pub(super) shed: u64,
+    /// All others.
+    pub(super) failed: u64,
+    /// The time to the first token.
+    pub(super) ttft_ms: Times,
+    /// The time between tokens.
+    pub(super) gap_ms: Times,
+    /// The time to a refusal.
+    pub(super) shed_ms: Times,
+    /// Jain's index over the workspaces that ask for more than their share; 1 if none does.
+    pub(super) fairness: f64,
+    /// The part of prompt tokens found in the engines' caches.
+    pub(super) prefix_hits: f64,
+    /// The answers whose first token came after the deadline.
+    pub(super) late: u64,
+    /// The tokens a second of answers in time.
+    pub(super) goodput: f64,
+    /// The engine streams beyond one for each answer.
+    pub(super) extra_streams: i64,
+}
+
+/// One request to be sent at its time.
+struct Arrival {
+    at: Duration,
+    workspace: usize,
+    ask: Ask,
+}
+
+/// Offers one load for some seconds and waits for all answers.
+pub(super) async fn run(
+    fleet: &Fleet,
+    deployment: &Deployment,
+    load: u64,
+    seed: u64,
+    seconds: u64,
+) -> Result<Step, BenchError> {
+    let span = Duration::from_secs(seconds);
+    let arrivals = arrivals(fleet, deployment, load, seed, span);
+    let spaces: Vec<usize> = arrivals.iter().map(|a| a.workspace).collect();
+    let before = stats(fleet).await?;
+    let start = Instant::now();
+    let send = |arrival: Arrival| async move {
+        sleep_until(start + arrival.at).await;
+        arrival.ask.run().await
+    };
+    let tasks = arrivals.into_iter().map(|a| tokio::spawn(send(a)));
+    let joined = join_all(tasks).await;
+    let seen: Vec<(usize, Seen)> = spaces
+        .into_iter()
+        .zip(joined)
+        .filter_map(|(space, seen)| Some((space, seen.ok()?)))
+        .collect();
+    let after = stats(fleet).await?;
+    Ok(summary(
+        deployment,
+        load,
+        &seen,
+        start..start + span,
+        (before, after),
+    ))
+}
+
+/// Random arrivals at a constant rate, at random hosts.
+fn arrivals(
+    fleet: &Fleet,
+    deployment: &Deployment,
+    load: u64,
+    seed: u64,
+    span: Duration,
+) -> Vec<Arrival> {
+    let mut random = StdRng::seed_from_u64(seed ^ (load << 32));
+    let rate = deployment.capacity() * load as f64 / 100.0;
+    let mut at = Duration::ZERO;
+    let mut all = Vec::new();
+    loop {
+        let unit: f64 = random.random_range(f64::EPSILON..1.0);
+        at += Duration::from_secs_f64(-unit.ln() / rate);
+        if at >= span {
+            return all;
+        }
+        let workspace = draw_space(deployment, random.random_range(0..1_000));
+        let host = random.random_range(0..fleet.hosts.len());
+        let script = random.random_range(0..SCRIPTS);
+        let scene: u64 = random.random();
+        let name = &deployment.workspaces[workspace].name;
+        let ask = Ask {
+            host: fleet.hosts[host].callers,
+            bearer: name.clone(),
+            service: deployment.service.to_owned(),
+            prompt: prompt(name, script, scene),
+            max_tokens: TOKENS,
+        };
+        all.push(Arrival { at, workspace, ask });
+    }
+}
+
+/// The workspace of a number below 1,000.
+fn draw_space(deployment: &Deployment, number: u64) -> usize {
+    let mut sum = 0;
+    let is_past = |part: u64| {
+        sum += part;
+        number < sum
+    };
+    let found = deployment
+        .workspaces
+        .iter()
+        .map(|w| w.part)
+        .position(is_past);
+    found.unwrap_or(0)
+}
+
+/// A script breakdown shared by many prompts, and one scene.
+fn prompt(workspace: &str, script: usize, scene: u64) -> String {
+    let line = format!("{workspace}, script {script}: interior, night, two cast, one vehicle. ");
+    let mut text = line.repeat(SCRIPT_BYTES / line.len() + 1);
+    text.truncate(SCRIPT_BYTES);
+    text + &format!("Draft the schedule of scene {scene:016x}.")
+}
+
+/// What all engines have done.
+async fn stats(fleet: &Fleet) -> Result<Stats, BenchError> {
+    let mut sum = Stats::default();
+    for i in 0..fleet.engines.len() {
+        let one = fleet.engine_stats(i).await?;
+        sum.prefill += one.prefill;
+        sum.cached += one.cached;
+        sum.streams += one.streams;
+    }
+    Ok(sum)
+}
+
+fn summary(
+    deployment: &Deployment,
+    load: u64,
+    seen: &[(usize, Seen)],
+    window: std::ops::Range<Instant>,
+    (before, after): (Stats, Stats),
+) -> Step {
+    let count = |end: End| seen.iter().filter(|(_, s)| s.end == end).count() as u64;
+    let first = |s: &Seen| Some(s.arrivals.first()?.0 - s.sent);
+    let deadline = Duration::from_millis(DEADLINE_MS);
+    let is_late = |s: &Seen| first(s).is_some_and(|t| t > deadline);
+    let served: Vec<&Seen> = seen
+        .iter()
+        .filter(|(_, s)| s.end == End::Served)
+        .map(|(_, s)| s)
+        .collect();
+    let shed = seen.iter().filter(|(_, s)| s.end == End::Shed);
+    let counted = window.start + WARM..window.end;
+    let tokens = |s: &Seen| -> u64 {
+        let within = s.arrivals.iter().filter(|(at, _)| counted.contains(at));
+        within.map(|(_, count)| count).sum()
+    };
+    let in_time = served.iter().filter(|s| !is_late(s));
+    let seconds = (counted.end - counted.start).as_secs_f64();
+    let prompts = (after.cached + after.prefill) - (before.cached + before.prefill);
+    Step {
+        load,
+        offered: seen.len() as u64,
+        served: count(End::Served),
+        shed: count(End::Shed),
+        failed: count(End::Failed),
+        ttft_ms: times(served.iter().filter_map(|s| first(s))),
+        gap_ms: times(served.iter().flat_map(|s| gaps(s))),
+        shed_ms: times(shed.map(|(_, s)| s.ended - s.sent)),
+        fairness: fairness(deployment, seen, tokens),
+        prefix_hits: (after.cached - before.cached) as f64 / prompts.max(1) as f64,
+        late: served.iter().filter(|s| is_late(s)).count() as u64,
+        goodput: in_time.map(|s| tokens(s)).sum::<u64>() as f64 / seconds,
+        extra_streams: (after.streams - before.streams) as i64 - served.len() as i64,
+    }
+}
+
+/// The times between events with tokens.
+fn gaps(seen: &Seen) -> Vec<Duration> {
+    let pairs = seen.arrivals.windows(2);
+    pairs.map(|pair| pair[1].0 - pair[0].0).collect()
+}
+
+/// Jain's index of tokens by share over the workspaces that ask for more than their share.
+fn fairness(deployment: &Deployment, seen: &[(usize, Seen)], tokens: impl Fn(&Seen) -> u64) -> f64 {
+    let of = |i: usize| seen.iter().filter(move |(space, _)| *space == i);
+    let got: Vec<u64> = (0..deployment.workspaces.len())
+        .map(|i| of(i).map(|(_, s)| tokens(s)).sum())
+        .collect();
+    let served = seen.iter().filter(|(_, s)| s.end == End::Served).count();
+    let shares: u32 = deployment.workspaces.iter().map(|w| w.share).sum();
+    let asks_more = |i: &usize| {
+        let share = f64::from(deployment.workspaces[*i].share) / f64::from(shares);
+        of(*i).count() as f64 > served as f64 * share && of(*i).any(|(_, s)| s.end == End::Shed)
+    };
+    let rates: Vec<f64> = (0..deployment.workspaces.len())
+        .filter(asks_more)
+        .map(|i| got[i] as f64 / f64::from(deployment.workspaces[i].share))
+        .collect();
+    let sum: f64 = rates.iter().sum();
+    let squares: f64 = rates.iter().map(|r| r * r).sum();
+    if squares == 0.0 {
+        return 1.0;
+    }
+    sum * sum / (rates.len() as f64 * squares)
+}
--- /dev/null
+++ b/crates/gooseberry-bench/src/slopes/work.rs
@@ -0,0 +1,103 @@
+//! Streams that are opened together, and the processes that carry them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use base::prelude::*;
+use gooseberry_standin::{engine, platform};
+use tokio::task::JoinHandle;
+
+use crate::demo;
+use crate::harness::fleet::{Fleet, Plan};
+use crate::load::caller::{Ask, End};
+
+/// The streams that one engine generates at once: more than any run opens.
+const SLOTS: usize = 1_000;
+
+/// The prompt, in front of a number.
+const PROMPT: &str = "Break the script down into tomorrow's schedule, scene";
+
+/// Entry hosts and engines in one data centre.
+pub(crate) fn plan(hosts: usize, engines: usize, gap_ms: u64) -> Plan {
+    let here = DataCentre::from("vn-south-a");
+    let mut document = demo::document();
+    document.profiles[0].deadline_ms = 60_000;
+    Plan {
+        hosts: vec![here.clone(); hosts],
+        engines: vec![here; engines],
+        service: ServiceName::from("draft-model"),
+        engine: engine::Settings {
+            gap_ms,
+            slots: SLOTS,
+            queue: SLOTS,
+            ..engine::Settings::default()
+        },
+        platform: platform::Settings::default(),
+        document,
+    }
+}
+
+/// Streams under way.
+pub(crate) struct Batch {
+    tasks: Vec<JoinHandle<End>>,
+    tokens: Arc<AtomicU64>,
+}
+
+/// What a batch came to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Served {
+    /// The streams with a whole answer.
+    pub(crate) whole: usize,
+    /// The tokens received.
+    pub(crate) tokens: u64,
+}
+
+impl Batch {
+    /// Opens `count` streams of at most `tokens` tokens at all hosts in turn.
+    pub(crate) fn start(fleet: &Fleet, count: usize, tokens: u64) -> Self {
+        let received = Arc::new(AtomicU64::new(0));
+        let open = |i: usize| {
+            let ask = Ask {
+                host: fleet.hosts[i % fleet.hosts.len()].callers,
+                bearer: demo::BEARER.to_owned(),
+                service: "draft-model".to_owned(),
+                prompt: format!("{PROMPT} {i} of {tokens}"),
+                max_tokens: tokens,
+            };
+            let received = received.clone();
+            tokio::spawn(async move {
+                let mut arrivals = Vec::new();
+                ask.read(&mut arrivals, |count| {
+                    received.fetch_add(count, Ordering::Relaxed);
+                })
+                .await
+            })
+        };
+        Self {
+            tasks: (0..count).map(open).collect(),
+            tokens: received.clone(),
+        }
+    }
+
+    /// The tokens received so far.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens.load(Ordering::Relaxed)
+    }
+
+    /// Waits for all streams to end.
+    pub(crate) async fn finish(self) -> Served {
+        let mut whole = 0;
+        for task in self.tasks {
+            whole += usize::from(task.await.is_ok_and(|end| end == End::Served));
+        }
+        Served {
+            whole,
+            tokens: self.tokens.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Leaves all streams.
+    pub(crate) fn abort(self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
