router: note the state for dumps at most each 100 ms

Cause: the router's cost by token was about 200 us, because each event of a generation wrote its whole state as JSON for a dump that is seldom asked for.

Ruled out: writing it only when a dump is asked for (the dump would have to wait for every driver).

Change: a driver notes its state at most each 100 ms. A dump of a generation without events can be as old as its next wake, at most 2 s.

--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -32,6 +32,9 @@
 /// The time between appends to this host's own journal when there are no tokens.
 const TOUCH: Millis = Millis(2_000);
 
+/// The least time between two notes for the state dump.
+const NOTE: Millis = Millis(100);
+
 /// The seconds after which a caller is told to come back.
 const COME_BACK_S: u64 = 1;
 
@@ -69,6 +72,8 @@
     /// The tokens in this host's own journal.
     local: Offset,
     touched: Millis,
+    /// When the state was last noted for a dump.
+    noted: Option<Millis>,
     is_verifying: bool,
     queue: VecDeque<Output>,
     /// The tokens in the queue.
@@ -123,6 +128,7 @@
             end: claimed.finish,
             local: Offset(0),
             touched: now,
+            noted: None,
             is_verifying: false,
             queue,
             queued: 0,
@@ -351,8 +357,13 @@
         }
     }
 
-    /// Keeps the state dump true.
-    fn note(&self) {
+    /// Keeps the state dump true, but not for each token.
+    fn note(&mut self) {
+        let now = self.router.timer.now();
+        if self.noted.is_some_and(|at| now.since(at) < NOTE) {
+            return;
+        }
+        self.noted = Some(now);
         self.router.registry.note(self.number, || {
             json!({
                 "service": self.job.service,
