--- a/crates/gooseberry-bench/src/config/usage.rs
+++ b/crates/gooseberry-bench/src/config/usage.rs
@@ -1,5 +1,7 @@
 //! What the agents and the platform spend.
 
+use std::time::Duration;
+
 use platform::client::Platform;
 use serde::Serialize;
 use serde_json::Value;
@@ -7,9 +9,10 @@
 
 use super::agents::Agents;
 use crate::harness::fleet::CALL;
+use crate::harness::usage;
 
-/// The ticks of processor time in a second, fixed by the system's interface.
-const TICKS_S: f64 = 100.0;
+/// The bytes in a megabyte of memory.
+const MIB: f64 = 1_048_576.0;
 
 /// What was spent up to some time.
 pub(crate) struct Usage {
@@ -23,8 +26,9 @@
 #[derive(Clone, Copy, Default)]
 struct Node {
     bytes: f64,
-    ticks: f64,
-    memory_kb: f64,
+    cpu: Duration,
+    /// In bytes.
+    memory: u64,
 }
 
 /// Over all agents.
@@ -60,11 +64,11 @@
             let state: Value = state.unwrap_or_default();
             let traffic = &state["traffic"];
             let bytes = number(&traffic["sent"]) + number(&traffic["received"]);
-            let (ticks, memory_kb) = process(agent.process.id()).unwrap_or_default();
+            let id = agent.process.id();
             nodes.push(Node {
                 bytes,
-                ticks,
-                memory_kb,
+                cpu: usage::cpu(id),
+                memory: usage::memory(id),
             });
         }
         Self {
@@ -81,8 +85,10 @@
         let pairs = || self.nodes.iter().zip(&before.nodes);
         Spent {
             bytes_s: spread(pairs().map(|(a, b)| (a.bytes - b.bytes) / span)),
-            cpu_share: spread(pairs().map(|(a, b)| (a.ticks - b.ticks) / TICKS_S / span)),
-            memory_mb: spread(self.nodes.iter().map(|n| n.memory_kb / 1_024.0)),
+            cpu_share: spread(
+                pairs().map(|(a, b)| a.cpu.saturating_sub(b.cpu).as_secs_f64() / span),
+            ),
+            memory_mb: spread(self.nodes.iter().map(|n| n.memory as f64 / MIB)),
             reads_s: (self.reads - before.reads) / span,
             writes_s: (self.writes - before.writes) / span,
         }
@@ -94,21 +100,6 @@
     stats.unwrap_or_default()
 }
 
-/// The processor time in ticks and the resident memory in kilobytes of a process.
-fn process(id: Option<u32>) -> Option<(f64, f64)> {
-    let id = id?;
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-    // The name of the program, in parentheses, may hold spaces; counted from behind it, user and
-    // system time are the fields 11 and 12.
-    let (_, fields) = stat.rsplit_once(')')?;
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    let ticks = |i: usize| fields.get(i)?.parse::<f64>().ok();
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
-    let memory = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some((ticks(11)? + ticks(12)?, memory))
-}
-
 fn number(value: &Value) -> f64 {
     value.as_f64().unwrap_or(0.0)
 }
--- a/crates/gooseberry-bench/src/faults/site.rs
+++ b/crates/gooseberry-bench/src/faults/site.rs
@@ -103,7 +103,6 @@
             },
             platform: platform::Settings::default(),
             document: self.document(),
-            plain: PlainPlan::default(),
         }
     }
 
--- a/crates/gooseberry-bench/src/main.rs
+++ b/crates/gooseberry-bench/src/main.rs
@@ -7,6 +7,9 @@
 mod faults;
 #[expect(dead_code, reason = "later experiments use what these do not")]
 mod harness;
+mod load;
+mod overhead;
+mod slopes;
 mod up;
 
 use std::process::ExitCode;
@@ -35,6 +38,15 @@
     /// Replace every entry host and a third of the engines while answers are under way.
     #[bpaf(command)]
     Drain(#[bpaf(external(drain::options))] drain::Options),
+    /// Offer rising load to both deployments and compare rules of choice.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
+    /// Measure what each token, request, stream and node costs.
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::options))] slopes::Options),
+    /// Compare streams through one router with streams straight from the engines.
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
 }
 
 #[tokio::main]
@@ -46,6 +58,9 @@
         Command::Faults(options) => faults::run(options).await,
         Command::Config(options) => config::run(options).await,
         Command::Drain(options) => drain::run(options).await,
+        Command::Load(options) => load::run(options).await,
+        Command::Slopes(options) => slopes::run(options).await,
+        Command::Overhead(options) => overhead::run(options).await,
     };
     match ran {
         Ok(true) => ExitCode::SUCCESS,
