--- a/crates/orders/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Leases and fencing numbers for orders to engines.
