router: output that does not begin within the deadline is refused at once

Cause: the deadline ended at the gate. Behind it a request could wait at an engine for as long as attempts lasted, and was then told `not_run` although engines had been asked. Ruled out: leaving it to the engine, which may ignore `deadline_ms`. Change: a generation without a token is told when its deadline, less 50 ms for the way back, is over; it ends with 503, `overloaded` and when to come back, and its stream is cancelled. `ran` is `not_run` only if no engine was ever asked, else `unknown`.

--- a/crates/generation/src/event.rs
+++ b/crates/generation/src/event.rs
@@ -53,6 +53,8 @@
     CallerGone,
     /// Whether tokens are being read from the engines; false while the caller is too slow.
     Reading(bool),
+    /// The time by which the first token was of use is over.
+    Expired,
     /// Time has passed.
     Tick,
 }
@@ -150,6 +152,9 @@
     /// Too many engine streams were started.
     #[error("the output was lost too many times; repeat the request with its key later")]
     Attempts,
+    /// No first token in time.
+    #[error("no output began within the deadline; repeat the request later")]
+    Late,
     /// The model version is gone.
     #[error("the model version that began the output is gone; send the request under a new key")]
     ModelGone,
--- a/crates/generation/src/machine.rs
+++ b/crates/generation/src/machine.rs
@@ -177,6 +177,9 @@
             Event::Superseded => self.superseded(out),
             Event::CallerGone => self.gone_at = self.gone_at.or(Some(now)),
             Event::Reading(is_reading) => self.set_reading(now, is_reading),
+            Event::Expired if self.tokens.is_empty() => self.fail(Failure::Late, out),
+            // Output that has begun in time goes on.
+            Event::Expired => {}
             Event::Tick => self.tick(now, out),
         }
         self.deliver(now, out);
--- a/crates/generation/tests/script/mod.rs
+++ b/crates/generation/tests/script/mod.rs
@@ -147,6 +147,7 @@
         "caller-gone" => Event::CallerGone,
         "slow-caller" => Event::Reading(false),
         "caller-caught-up" => Event::Reading(true),
+        "expired" => Event::Expired,
         "tick" => Event::Tick,
         other => panic!("there is no command `{other}`"),
     }
--- a/crates/gooseberry-router/src/drive.rs
+++ b/crates/gooseberry-router/src/drive.rs
@@ -35,6 +35,9 @@
 /// The least time between two notes of a request's state for dumps.
 const NOTE: Millis = Millis(100);
 
+/// The part of the deadline that is left for the way back to the caller.
+const RETURN: Millis = Millis(50);
+
 /// The seconds after which a caller is told to come back.
 const COME_BACK_S: u64 = 1;
 
@@ -150,7 +153,8 @@
                 .generation
                 .wake(now)
                 .min(self.replica.wake(now))
-                .min(self.touched + TOUCH);
+                .min(self.touched + TOUCH)
+                .min(self.expires());
             let is_over = self.generation.is_over();
             tokio::select! {
                 biased;
@@ -243,9 +247,21 @@
         let mut actions = Vec::new();
         self.replica.tick(now, &mut actions);
         self.carry_out_replica(actions);
+        if now >= self.expires() {
+            self.tell(Event::Expired);
+        }
         self.tell(Event::Tick);
     }
 
+    /// When the first token is of no more use; never, once it has come.
+    fn expires(&self) -> Millis {
+        if self.generation.tokens().is_empty() {
+            self.job.deadline - RETURN
+        } else {
+            Millis::MAX
+        }
+    }
+
     fn caller_gone(&mut self) {
         self.is_caller_gone = true;
         self.queue.clear();
@@ -312,24 +328,35 @@
         );
         let kind = match failure {
             Failure::Superseded => Kind::Superseded,
+            Failure::Late => Kind::Overloaded,
             Failure::Invalid => Kind::Malformed,
             Failure::Stalled | Failure::Attempts | Failure::ModelGone | Failure::Abandoned => {
                 Kind::Lost
             }
         };
-        let comes_back = matches!(failure, Failure::Stalled | Failure::Attempts);
+        let comes_back = matches!(
+            failure,
+            Failure::Stalled | Failure::Attempts | Failure::Late
+        );
         self.push(Output::Failed(CallerError {
             kind,
             message: failure.to_string(),
-            ran: if self.generation.tokens().is_empty() {
-                Ran::NotRun
-            } else {
-                Ran::Ran
-            },
+            ran: self.ran(),
             retry_after: comes_back.then_some(COME_BACK_S),
         }));
     }
 
+    /// Whether the request was run, as far as is certain.
+    fn ran(&self) -> Ran {
+        if !self.generation.tokens().is_empty() {
+            Ran::Ran
+        } else if self.attempts.is_unsent() {
+            Ran::NotRun
+        } else {
+            Ran::Unknown
+        }
+    }
+
     fn push(&mut self, output: Output) {
         if !self.is_caller_gone {
             self.queue.push_back(output);
--- a/crates/gooseberry-router/src/drive/attempts.rs
+++ b/crates/gooseberry-router/src/drive/attempts.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether no engine was ever asked for a stream.
+    pub(super) fn is_unsent(&self) -> bool {
+        self.streams.is_empty()
+    }
+
     /// Ends an attempt and its stream on the engine.
     pub(super) fn cancel(&mut self, attempt: Attempt) {
         let Some(stream) = self.find(attempt) else {
--- a/crates/gooseberry-router/tests/common/mod.rs
+++ b/crates/gooseberry-router/tests/common/mod.rs
@@ -61,7 +61,7 @@
 fn document() -> Document {
     let document = json!({
         "version": 3,
-        "profiles": [{ "name": "drafts", "limits": { "body_bytes": 1_000, "tokens": 100 } }],
+        "profiles": [{ "name": "drafts", "deadline_ms": 1_000, "limits": { "body_bytes": 1_000, "tokens": 100 } }],
         "services": [{
             "name": "draft-model",
             "kind": "model",
