telemetry: both daemons prepare and end by the same code

Cause: the two main functions were the same 30 lines. Change: telemetry::daemon reads and checks the settings, sets the logger and turns a result into an exit code. Conclusion: behaviour as before.

--- a/crates/gooseberry-router/src/main.rs
+++ b/crates/gooseberry-router/src/main.rs
@@ -5,6 +5,10 @@
 
 use bpaf::Bpaf;
 use settings::router::Router as Settings;
+use telemetry::daemon;
+
+/// The name of the program in its messages.
+const PROGRAM: &str = "gooseberry-router";
 
 /// The router of an entry host: takes the requests of callers and runs them on backend servers.
 #[derive(Clone, Debug, Bpaf)]
@@ -20,24 +24,13 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = options().run();
-    let settings: Settings = match settings::load(&options.settings) {
+    let prepared = daemon::prepare(PROGRAM, &options.settings, options.check, |s: &Settings| {
+        &s.log
+    });
+    let settings = match prepared {
         Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("gooseberry-router: {e}");
-            return ExitCode::FAILURE;
-        }
+        Err(code) => return code,
     };
-    if options.check {
-        println!("{}: correct", options.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    telemetry::logs::start(&settings.log);
     let stop = telemetry::signals::stop_on_signal();
-    match gooseberry_router::run::run(settings, stop).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("gooseberry-router: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::ended(PROGRAM, gooseberry_router::run::run(settings, stop).await)
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and the operators' view of a process.
 
 pub mod admin;
+pub mod daemon;
 pub mod logs;
 pub mod metrics;
 pub mod signals;
