router: a slow caller holds a bounded part of its output

Cause: backpressure to the engine was shown in the pure crate only. Change: a test with an engine stand-in and a caller that reads nothing until the engine has given everything. Conclusion: memory for a slow caller is bounded.

--- /dev/null
+++ b/crates/gooseberry-router/tests/slow_caller.rs
@@ -0,0 +1,135 @@
+//! A caller that does not read: the router holds a bounded part of the output, and all of it arrives
+//! once the caller reads again.
+
+#[expect(dead_code, reason = "each test uses a part of the pipe")]
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use common::{configure, connect, request, router};
+use gooseberry_router::backends::Backend;
+use gooseberry_router::config::Snapshot;
+use gooseberry_router::context::Router;
+use gooseberry_standin::{engine, sequence};
+use http_body_util::BodyExt;
+use peer::agent::BackendView;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// The most tokens asked for.
+const TOKENS: u64 = 4_000;
+
+/// The most tokens that the router takes while nobody reads: its window and what its buffers and the
+/// pipe hold, each token being an event of some 150 bytes.
+const MOST_HELD: u64 = 2_000;
+
+/// The time between two looks at the engine, and how many there are at most.
+const LOOK: Duration = Duration::from_millis(100);
+const LOOKS: u32 = 300;
+
+/// The prompt.
+const PROMPT: &str = "Scene 2";
+
+/// An engine that gives a token each millisecond.
+async fn engine() -> (std::net::SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let stop = CancellationToken::new();
+    let settings = engine::Settings {
+        gap_ms: 1,
+        ..engine::Settings::default()
+    };
+    tokio::spawn(engine::run(listener, settings, stop.clone()));
+    (addr, stop)
+}
+
+fn backend(addr: std::net::SocketAddr) -> Arc<Backend> {
+    let seen = BackendView {
+        backend: BackendId::from("engine-0"),
+        service: ServiceName::from("draft-model"),
+        data_centre: DataCentre::from("vn-south-a"),
+        addr,
+        incarnation: None,
+        leaving: false,
+        alive: true,
+        running: 0,
+        queued: 0,
+        slots: 8,
+        models: engine::Settings::default().models,
+        age_ms: 0,
+        blocks: Vec::new(),
+    };
+    Arc::new(Backend::adopt(Millis(0), seen, &[]))
+}
+
+/// A router before that engine, whose profile allows long outputs.
+fn before(addr: std::net::SocketAddr) -> Arc<Router> {
+    let router = router();
+    configure(&router);
+    let configured = router.snapshot();
+    let mut document = (*configured.document).clone();
+    document.profiles[0].limits.tokens = TOKENS;
+    router.swap(Snapshot {
+        document: Arc::new(document),
+        backends: vec![backend(addr)],
+        ..(*configured).clone()
+    });
+    router
+}
+
+/// The tokens that the router has taken for its only request.
+fn taken(router: &Router) -> u64 {
+    let dump = router.registry.dump();
+    dump.first()
+        .and_then(|r| r["state"]["length"].as_u64())
+        .unwrap_or(0)
+}
+
+/// Waits until the engine has given so many tokens.
+async fn until_given(addr: std::net::SocketAddr, tokens: u64) {
+    for _ in 0..LOOKS {
+        let stats: Value = web::client::get(addr, "/stats", LOOK).await.expect("stats");
+        if stats["decode"] == tokens {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    panic!("the engine did not give {tokens} tokens");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bounded_and_whole() {
+    let (addr, _stop) = engine().await;
+    let router = before(addr);
+    let body = json!({
+        "model": "draft-model", "prompt": PROMPT, "max_tokens": TOKENS, "stream": true,
+    });
+    let mut sender = connect(&router).await;
+    let asked = request("POST", "/v1/completions", body.to_string());
+    let mut response = sender.send_request(asked).await.expect("a head comes");
+
+    // Nobody reads until the engine has given everything.
+    let (length, _) = sequence::length(PROMPT, TOKENS);
+    until_given(addr, length).await;
+    let held = taken(&router);
+    assert!(held < MOST_HELD, "the router took {held} tokens");
+
+    let mut text = String::new();
+    while let Some(frame) = response.body_mut().frame().await {
+        let data = frame
+            .expect("the stream is whole")
+            .into_data()
+            .unwrap_or_default();
+        text.push_str(&String::from_utf8_lossy(&data));
+    }
+    let mut output = String::new();
+    for data in text.lines().filter_map(|l| l.strip_prefix("data: ")) {
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        output.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    assert_eq!(sequence::check(PROMPT, &output), Ok(length));
+    assert!(text.contains("data: [DONE]"));
+}
