agent: its metrics go to the statsd address of its settings

Cause: the setting was read, checked and without effect. Conclusion: agents can be watched as routers are.

--- a/crates/gooseberry-agent/src/lib.rs
+++ b/crates/gooseberry-agent/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caches;
 pub mod commit;
 pub mod drain;
+pub mod gauges;
 pub mod heartbeats;
 pub mod members;
 pub mod operate;
--- a/crates/gooseberry-agent/src/run.rs
+++ b/crates/gooseberry-agent/src/run.rs
@@ -13,15 +13,24 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Agent;
-use crate::{admin, caches, drain, heartbeats, spread, watch};
+use crate::{admin, caches, drain, gauges, heartbeats, spread, watch};
 
 /// Why an agent cannot start.
 #[derive(Debug, Error)]
-#[error("cannot listen on {addr}: {cause}; correct `{place}` in the settings")]
-pub struct StartError {
-    addr: SocketAddr,
-    place: &'static str,
-    cause: std::io::Error,
+pub enum StartError {
+    /// An address cannot be had.
+    #[error("cannot listen on {addr}: {cause}; correct `{place}` in the settings")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The path in the settings.
+        place: &'static str,
+        /// The cause given by the system.
+        cause: std::io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::metrics::MetricsError),
 }
 
 /// Runs an agent until its host has left, which begins when `stop` is cancelled at the latest.
@@ -38,12 +47,14 @@
         settings.listen.peers,
         settings.listen.admin
     );
+    let metrics = telemetry::metrics::start("agent", settings.host.as_str(), settings.statsd)?;
     let agent = Arc::new(Agent::new(settings, Timer::start()));
     let loops = [
         tokio::spawn(spread::run(agent.clone())),
         tokio::spawn(watch::hosts(agent.clone())),
         tokio::spawn(heartbeats::run(agent.clone())),
         tokio::spawn(caches::follow(agent.clone())),
+        tokio::spawn(gauges::report(agent.clone(), metrics)),
     ];
     let (viewed, asked, own) = (agent.clone(), agent.clone(), agent.clone());
     let (beaten, left) = (agent.clone(), agent.clone());
@@ -87,5 +98,5 @@
 
 async fn bind(addr: SocketAddr, place: &'static str) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(addr).await;
-    listener.map_err(|cause| StartError { addr, place, cause })
+    listener.map_err(|cause| StartError::Listen { addr, place, cause })
 }
