router: counts of the past reach back as far as load reports are old

Cause: of each server the router kept its own requests at the last 16 views. Views come for each change of any server, a hundred a second, so that the counts reached back 0.2 s, while reports that come by heartbeats are up to a second old. Ruled out: less frequent views, which would make reports older still. Change: a count is kept each 100 ms, 32 of them.

--- a/crates/gooseberry-router/src/backends.rs
+++ b/crates/gooseberry-router/src/backends.rs
@@ -20,8 +20,12 @@
 /// The blocks of a prompt that decide on its home when no cache event tells of any.
 const PREFIX_BLOCKS: usize = 8;
 
-/// The most counts of the past that are kept for each server.
-const MAX_PAST: usize = 16;
+/// The least time between two counts of the past that are kept.
+const PAST_STEP: Millis = Millis(100);
+
+/// The most counts of the past that are kept for each server; with the step they reach beyond the age
+/// at which a report is no longer used.
+const MAX_PAST: usize = 32;
 
 /// A backend server and what this router has running there.
 #[derive(Clone, Debug)]
@@ -48,10 +52,17 @@
             outcome.change(|h| h.came_back(now));
         }
         let mut past = old.map(|b| b.past.clone()).unwrap_or_default();
-        if past.len() >= MAX_PAST {
+        // Views come for each change of any server; keeping a count of each would reach back less far
+        // than reports are old.
+        let is_due = past
+            .last()
+            .is_none_or(|(at, _)| now.since(*at) >= PAST_STEP);
+        if is_due && past.len() >= MAX_PAST {
             past.remove(0);
         }
-        past.push((now, outcome.own()));
+        if is_due {
+            past.push((now, outcome.own()));
+        }
         Self {
             seen,
             heard: now,
