--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -72,6 +72,17 @@
         self.returned = self.ejected;
     }
 
+    /// The server is not reachable, or fell silent with all that it ran.
+    pub fn lost(&mut self, now: Millis) {
+        self.failures = self.failures.max(EJECT_FAILURES - 1);
+        self.failed(now);
+    }
+
+    /// The server answered.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
     /// The server is back after a death, or is new.
     pub fn came_back(&mut self, now: Millis) {
         *self = Self {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod choice;
 pub mod health;
+pub mod place;
 pub mod rule;
 
 pub use choice::{Ask, Server, choose};
--- a/crates/gooseberry-agent/src/commit.rs
+++ b/crates/gooseberry-agent/src/commit.rs
@@ -1,11 +1,11 @@
 //! Carries a proposal to the platform.
 
 use base::prelude::*;
-use platform::config::HeadRow;
 use profiles::change::{Proposal, Revision};
 use profiles::commit::{Commit, Outcome, Seen, Step, Written};
 use profiles::document::Document;
 use profiles::held::News;
+use store::config::HeadRow;
 
 use crate::shared::{Agent, SharedAgent};
 use crate::spread::{adopt, read_store};
--- a/crates/gooseberry-agent/src/members.rs
+++ b/crates/gooseberry-agent/src/members.rs
@@ -7,7 +7,7 @@
 use membership::hosts::Host;
 use membership::listed::{ListedBackend, ListedHost, Place};
 use peer::agent::{BackendView, HostView};
-use platform::wire::{self, HostKind};
+use store::wire::{self, HostKind};
 
 /// The entry hosts of a host list.
 pub fn listed_hosts(list: &[wire::Host]) -> Vec<ListedHost> {
--- a/crates/gooseberry-agent/src/operate.rs
+++ b/crates/gooseberry-agent/src/operate.rs
@@ -11,10 +11,10 @@
 use hyper::{Method, Request, StatusCode};
 use peer::link::AgentLink;
 use peer::operator::{Difference, HostState, Shown};
-use platform::wire::HostKind;
 use profiles::change::{Proposal, Refusal, Revision, diff};
 use profiles::commit::Outcome;
 use profiles::document::Document;
+use store::wire::HostKind;
 use telemetry::admin::AdminError;
 use web::{Response, reply};
 
--- a/crates/gooseberry-agent/src/shared.rs
+++ b/crates/gooseberry-agent/src/shared.rs
@@ -8,10 +8,10 @@
 use membership::own::Own;
 use membership::{Members, Policy};
 use peer::agent::View;
-use platform::client::Platform;
-use platform::wire::HostList;
 use profiles::held::Held;
 use settings::agent::Agent as Settings;
+use store::client::Platform;
+use store::wire::HostList;
 use timer::Timer;
 use tokio::sync::watch;
 
--- a/crates/gooseberry-agent/src/spread.rs
+++ b/crates/gooseberry-agent/src/spread.rs
@@ -12,9 +12,9 @@
 use futures_util::future::{join, join_all};
 use peer::agent::{Ask, Changes};
 use peer::link::{AgentLink, LinkError};
-use platform::wire::HostKind;
 use profiles::held::News;
 use profiles::spread::{Part, part};
+use store::wire::HostKind;
 use tokio::sync::watch;
 
 use crate::shared::{Agent, SharedAgent};
--- a/crates/gooseberry-agent/tests/config/spread.rs
+++ b/crates/gooseberry-agent/tests/config/spread.rs
@@ -3,8 +3,6 @@
 use crate::site::{Relay, Site, agent, get};
 use base::prelude::*;
 use hyper::StatusCode;
-use platform::client::Platform;
-use platform::wire::{Expect, Op, Transact, Write};
 use profiles::change::{Change, Revision};
 use profiles::commit::Written;
 use profiles::document::Workspace;
@@ -12,6 +10,8 @@
 use profiles::spread::{Part, Way, part};
 use serde_json::json;
 use std::time::Duration;
+use store::client::Platform;
+use store::wire::{Expect, Op, Transact, Write};
 use tokio::time::sleep;
 
 #[tokio::test]
--- a/crates/gooseberry-bench/src/config/usage.rs
+++ b/crates/gooseberry-bench/src/config/usage.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use platform::client::Platform;
 use serde::Serialize;
 use serde_json::Value;
+use store::client::Platform;
 use tokio::time::Instant;
 
 use super::agents::Agents;
--- /dev/null
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -0,0 +1,84 @@
+//! What the requests of a host share.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use base::prelude::*;
+use relay::Budget;
+use routing::Snapshot;
+use timer::Timer;
+
+use crate::fleet::Servers;
+use crate::metrics::Metrics;
+
+/// What the requests of a host share.
+pub struct Context {
+    /// The clock.
+    pub timer: Timer,
+    /// The configuration in force, if one was read.
+    pub snapshot: ArcSwapOption<Snapshot>,
+    /// The backend servers.
+    pub servers: Servers,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The grace between SIGTERM and the end.
+    pub grace: Millis,
+    budget: Mutex<Budget>,
+    /// When the process was told to stop, plus 1; 0 while it was not.
+    stopping: AtomicU64,
+}
+
+impl Context {
+    /// The context of a process that has just started.
+    pub fn new(timer: Timer, grace: Millis, budget: Budget) -> Self {
+        Self {
+            timer,
+            snapshot: ArcSwapOption::empty(),
+            servers: Servers::default(),
+            metrics: Metrics::default(),
+            grace,
+            budget: Mutex::new(budget),
+            stopping: AtomicU64::new(0),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.timer.now()
+    }
+
+    /// Notes a request, which earns a part of a repeat.
+    pub fn earn(&self) {
+        let now = self.now();
+        self.budget(|b| b.request(now));
+    }
+
+    /// Takes one repeat out of the budget, if there is one left.
+    pub fn spend(&self) -> bool {
+        let now = self.now();
+        self.budget(|b| b.spend(now))
+    }
+
+    /// The process was told to stop.
+    pub fn stop(&self) {
+        self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
+    }
+
+    /// When the process was told to stop, if it was.
+    pub fn stopped(&self) -> Option<Millis> {
+        let at = self.stopping.load(Ordering::Relaxed);
+        at.checked_sub(1).map(Millis)
+    }
+
+    /// Whether the host takes new connections.
+    pub fn is_ready(&self) -> bool {
+        self.stopped().is_none()
+            && self.snapshot.load().is_some()
+            && !self.servers.lock().roster.is_empty()
+    }
+
+    fn budget<T>(&self, work: impl FnOnce(&mut Budget) -> T) -> T {
+        work(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -0,0 +1,254 @@
+//! The backend servers as this host knows them: rows, load, health and idle connections.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use balance::Health;
+use balance::place::{Candidate, Load, Wish, place};
+use base::prelude::*;
+use base::sorted::Sorted;
+use membership::Roster;
+use membership::roster::Entry;
+
+use crate::link::Link;
+
+/// The idle connections that are kept for one server.
+const MAX_IDLE: usize = 8;
+
+/// How long an idle connection is kept where the server does not say; the shortest seen is 5 s.
+const IDLE: Millis = Millis(3_000);
+
+/// An idle connection is given up so long before the server closes it.
+const IDLE_MARGIN: Millis = Millis(700);
+
+/// What this host knows of one server besides its row.
+#[derive(Debug, Default)]
+struct Server {
+    load: Load,
+    health: Health,
+    /// When bytes last came from it.
+    heard: Millis,
+    /// Connections without a request, and until when they may be used.
+    idle: Vec<(Link, Millis)>,
+}
+
+/// All backend servers.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The rows of the registry.
+    pub roster: Roster,
+    servers: Sorted<BackendId, Server>,
+}
+
+/// The backend servers, shared by the requests of a host.
+#[derive(Clone, Debug, Default)]
+pub struct Servers(Arc<Mutex<Fleet>>);
+
+/// A server chosen for a request; its load is taken back when this is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    servers: Servers,
+    /// The server.
+    pub id: BackendId,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub centre: DataCentre,
+    load: Load,
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What the request adds to the load of its server.
+    pub load: Load,
+    /// Tokens that a server's memory holds; 0 for a plain service.
+    pub capacity: u64,
+    /// Servers that are taken only if there is no other.
+    pub avoid: &'a [BackendId],
+    /// A data centre that is taken only if there is no other.
+    pub avoid_centre: Option<&'a str>,
+}
+
+impl Servers {
+    /// The fleet, to be read or changed without waiting.
+    pub fn lock(&self) -> MutexGuard<'_, Fleet> {
+        // No code panics while it holds the lock, and the counts are usable after one that did.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Chooses a server.
+    pub fn place(&self, now: Millis, want: &Want<'_>) -> Option<Lease> {
+        let mut fleet = self.lock();
+        let id = fleet.choose(now, want)?;
+        fleet.lease(self, id, want.load)
+    }
+
+    /// Takes the server of that id, if it may be used.
+    pub fn take(&self, now: Millis, id: &BackendId, load: Load) -> Option<Lease> {
+        let mut fleet = self.lock();
+        if !fleet.roster.get(id)?.is_usable(now) {
+            return None;
+        }
+        fleet.lease(self, id.clone(), load)
+    }
+
+    /// Bytes came from a server.
+    pub fn heard(&self, id: &BackendId, now: Millis) {
+        if let Some(server) = self.lock().servers.get_mut(id) {
+            server.heard = now;
+            server.health.answered();
+        }
+    }
+
+    /// When bytes last came from a server.
+    pub fn last_heard(&self, id: &BackendId) -> Millis {
+        let fleet = self.lock();
+        fleet.servers.get(id).map_or(Millis(0), |s| s.heard)
+    }
+
+    /// A server is not reachable or fell silent.
+    pub fn lost(&self, id: &BackendId, now: Millis) {
+        if let Some(server) = self.lock().servers.get_mut(id) {
+            server.health.lost(now);
+            server.idle.clear();
+        }
+    }
+
+    /// An idle connection to a server, if there is a usable one.
+    pub fn idle(&self, id: &BackendId, now: Millis) -> Option<Link> {
+        let mut fleet = self.lock();
+        let server = fleet.servers.get_mut(id)?;
+        server
+            .idle
+            .retain(|(l, until)| now < *until && !l.is_closed());
+        server.idle.pop().map(|(link, _)| link)
+    }
+
+    /// Keeps a connection for a later request; `limit` is how long the server leaves it open.
+    pub fn keep(&self, id: &BackendId, link: Link, now: Millis, limit: Option<Millis>) {
+        let until = now + limit.map_or(IDLE, |l| l - IDLE_MARGIN);
+        let mut fleet = self.lock();
+        if let Some(server) = fleet.servers.get_mut(id)
+            && server.idle.len() < MAX_IDLE
+        {
+            server.idle.push((link, until));
+        }
+    }
+
+    fn release(&self, id: &BackendId, load: Load) {
+        if let Some(server) = self.lock().servers.get_mut(id) {
+            server.load = minus(server.load, load);
+        }
+    }
+}
+
+impl Fleet {
+    fn choose(&self, now: Millis, want: &Want<'_>) -> Option<BackendId> {
+        let members: Vec<(&BackendId, &Entry)> = self
+            .roster
+            .iter()
+            .filter(|(_, m)| m.entry.service.as_str() == want.service && m.is_usable(now))
+            .map(|(id, m)| (id, &m.entry))
+            .collect();
+        let candidates: Vec<Candidate<'_>> = members
+            .iter()
+            .map(|(id, entry)| self.candidate(now, id, entry, want.capacity))
+            .collect();
+        let avoid: Vec<&str> = want.avoid.iter().map(BackendId::as_str).collect();
+        let wish = Wish {
+            memory: want.load.memory + want.load.copies,
+            avoid: &avoid,
+            avoid_centre: want.avoid_centre,
+            spread: rand::random(),
+        };
+        let i = place(&candidates, &wish)?;
+        Some(members[i].0.clone())
+    }
+
+    fn candidate<'a>(
+        &self,
+        now: Millis,
+        id: &'a BackendId,
+        entry: &'a Entry,
+        capacity: u64,
+    ) -> Candidate<'a> {
+        let server = self.servers.get(id);
+        Candidate {
+            server: id.as_str(),
+            centre: entry.centre.as_str(),
+            is_ejected: server.is_some_and(|s| s.health.is_ejected(now)),
+            load: server.map_or(Load::default(), |s| s.load),
+            capacity,
+        }
+    }
+
+    fn lease(&mut self, servers: &Servers, id: BackendId, load: Load) -> Option<Lease> {
+        let entry = &self.roster.get(&id)?.entry;
+        let lease = Lease {
+            servers: servers.clone(),
+            addr: entry.addr,
+            centre: entry.centre.clone(),
+            id: id.clone(),
+            load,
+        };
+        let server = self.servers.entry(id, Server::default);
+        server.load = plus(server.load, load);
+        Some(lease)
+    }
+
+    /// Forgets servers whose rows are gone and that run nothing.
+    pub fn sweep(&mut self, now: Millis) {
+        self.roster.expire(now);
+        let roster = &self.roster;
+        self.servers.retain(|id, s| {
+            s.idle.retain(|(l, until)| now < *until && !l.is_closed());
+            roster.get(id).is_some() || s.load != Load::default()
+        });
+    }
+
+    /// A server started anew: what is known of the one before no longer holds.
+    pub fn restarted(&mut self, id: &BackendId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.idle.clear();
+            server.health = Health::default();
+        }
+    }
+}
+
+impl Lease {
+    /// The first output came: the prompt has been read.
+    pub fn started(&mut self) {
+        let read = Load {
+            prefill: std::mem::take(&mut self.load.prefill),
+            ..Load::default()
+        };
+        self.servers.release(&self.id, read);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.servers.release(&self.id, self.load);
+    }
+}
+
+fn plus(a: Load, b: Load) -> Load {
+    Load {
+        prefill: a.prefill + b.prefill,
+        memory: a.memory + b.memory,
+        copies: a.copies + b.copies,
+        running: a.running + b.running,
+    }
+}
+
+fn minus(a: Load, b: Load) -> Load {
+    Load {
+        prefill: a.prefill.saturating_sub(b.prefill),
+        memory: a.memory.saturating_sub(b.memory),
+        copies: a.copies.saturating_sub(b.copies),
+        running: a.running.saturating_sub(b.running),
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -0,0 +1,116 @@
+//! One connection to a backend server or to the store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, body::Incoming};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// The silence after which the kernel asks whether the peer is still there; the least it offers.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// How long written bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of the request was written.
+    Unsent,
+    /// The connection broke; the request may have run.
+    Broken(hyper::Error),
+}
+
+/// A connection, closed at once when it is dropped.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    /// Whether it has carried a request before.
+    pub is_used: bool,
+}
+
+impl Link {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The system's error, or `TimedOut` after `limit`.
+    pub async fn open(addr: SocketAddr, limit: Millis) -> io::Result<Self> {
+        let stream = tokio::time::timeout(limit.duration(), TcpStream::connect(addr))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        tune(&stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%addr, %error, "connection ended");
+            }
+        });
+        Ok(Self {
+            sender,
+            driver: task.abort_handle(),
+            is_used: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], which tells whether the request may have run.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        if self.sender.ready().await.is_err() {
+            return Err(SendError::Unsent);
+        }
+        self.is_used = true;
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => SendError::Unsent,
+                None => SendError::Broken(error.into_error()),
+            }),
+        }
+    }
+
+    /// Whether the peer has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Sets the options by which a silent peer is noticed.
+pub fn tune(stream: &TcpStream) {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    let socket = SockRef::from(stream);
+    let results = [
+        stream.set_nodelay(true),
+        socket.set_tcp_keepalive(&probes),
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        tracing::warn!(%error, "a socket option is not available; losses are noticed later");
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -0,0 +1,170 @@
+//! One send of a caller's request to a backend server.
+
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use platform::answer::{self, Head};
+use platform::request::{self, Send};
+use relay::Outcome;
+use routing::{Call, Plan};
+
+use crate::context::Context;
+use crate::fleet::Lease;
+use crate::link::{Link, SendError};
+
+/// The longest wait for a new connection; within a data centre it takes a few milliseconds.
+const CONNECT: Millis = Millis(400);
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub struct Job {
+    /// Its head.
+    pub call: Call,
+    /// What the configuration makes of it.
+    pub plan: Plan,
+    /// The method.
+    pub method: Method,
+    /// The path and query, as they came.
+    pub uri: Uri,
+    /// The headers that every send has.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When the request came.
+    pub since: Millis,
+    /// When its answer is of no more use.
+    pub until: Millis,
+}
+
+/// What a stream adds to a send.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Extra<'a> {
+    /// The last event that the caller holds.
+    pub last_event: Option<u64>,
+    /// Where the run's memory is to be copied.
+    pub copy_to: Option<&'a str>,
+    /// Where a copy of an earlier run's memory lies.
+    pub copy: Option<&'a str>,
+}
+
+/// The head of an answer that belongs to the request, and what it says.
+#[derive(Debug)]
+pub struct Opened {
+    /// The answer; its body is not read yet.
+    pub response: Response<Incoming>,
+    /// What its head says.
+    pub head: Head,
+    /// The connection on which it comes.
+    pub link: Link,
+}
+
+impl Job {
+    /// The time that is left for the caller.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.until.since(now)
+    }
+
+    /// The request for one server.
+    fn request(&self, now: Millis, lease: &Lease, extra: &Extra<'_>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let send = Send {
+            server: lease.id.as_str(),
+            workspace: self.plan.workspace.as_ref().map(|w| w.name.as_str()),
+            left: self.left(now),
+            last_event: extra.last_event,
+            copy_to: extra.copy_to,
+            copy: extra.copy.map(|addr| request::Copy { addr }),
+        };
+        request::encode(&mut headers, &self.call.id, &send);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Sends a request to the server of `lease` and waits for the head of the answer.
+///
+/// # Errors
+///
+/// The outcome, if there is no answer that belongs to the request and comes from a server that ran it.
+pub async fn open(
+    ctx: &Context,
+    job: &Job,
+    lease: &Lease,
+    extra: &Extra<'_>,
+) -> Result<Opened, Outcome> {
+    let result = opened(ctx, job, lease, extra).await;
+    let cause: &'static str = match &result {
+        Ok(_) => "answered",
+        Err(outcome) => (*outcome).into(),
+    };
+    ctx.metrics.sent(cause);
+    if let Err(outcome) = &result {
+        tracing::info!(
+            id = %job.call.id, server = %lease.id, %outcome, age_ms = ctx.now().since(job.since).0,
+            left_ms = job.left(ctx.now()).0, version = job.plan.version.0, "send failed"
+        );
+    }
+    result
+}
+
+async fn opened(
+    ctx: &Context,
+    job: &Job,
+    lease: &Lease,
+    extra: &Extra<'_>,
+) -> Result<Opened, Outcome> {
+    let mut link = connect(ctx, lease).await?;
+    let request = job.request(ctx.now(), lease, extra);
+    let response = match link.send(request).await {
+        Ok(response) => response,
+        Err(SendError::Unsent) => return Err(Outcome::Unsent),
+        Err(SendError::Broken(_)) => {
+            ctx.servers.lost(&lease.id, ctx.now());
+            return Err(Outcome::Broken);
+        }
+    };
+    ctx.servers.heard(&lease.id, ctx.now());
+    let (parts, body) = response.into_parts();
+    let head = answer::decode(&parts, &job.call.id);
+    if head.is_foreign || head.is_encoded {
+        return Err(Outcome::Broken);
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another server has the address now; the row will follow.
+        ctx.servers.lost(&lease.id, ctx.now());
+    }
+    if head.is_unrun {
+        return Err(Outcome::NotRun);
+    }
+    if head.status.is_success() && !head.is_sealed {
+        return Err(Outcome::Broken);
+    }
+    let response = Response::from_parts(parts, body);
+    Ok(Opened {
+        response,
+        head,
+        link,
+    })
+}
+
+/// An idle connection, or a new one.
+async fn connect(ctx: &Context, lease: &Lease) -> Result<Link, Outcome> {
+    if let Some(link) = ctx.servers.idle(&lease.id, ctx.now()) {
+        return Ok(link);
+    }
+    ctx.metrics.connected("request");
+    match Link::open(lease.addr, CONNECT).await {
+        Ok(link) => Ok(link),
+        Err(error) => {
+            ctx.servers.lost(&lease.id, ctx.now());
+            tracing::info!(server = %lease.id, addr = %lease.addr, %error, "server not reachable");
+            Err(Outcome::Unsent)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -0,0 +1,481 @@
+//! Requests whose answers are streams of events, which go on at another server after a loss.
+
+use std::sync::Arc;
+
+use balance::place::Load;
+use base::prelude::*;
+use bytes::Bytes;
+use futures_util::stream;
+use generation::policy::Policy;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use platform::answer::{self, Head};
+use relay::{Event, Next, Outcome, Progress, Splitter, Step, Tries};
+
+use crate::context::Context;
+use crate::fleet::{Lease, Want};
+use crate::link::Link;
+use crate::metrics::Cause;
+use crate::reply::{self, Body, Cut};
+use crate::send::{self, Extra, Job, Opened};
+
+/// The pause before a stream that a server rejected is sent to another one.
+const REJECTED_PAUSE: Millis = Millis(60);
+
+/// When a caller may come back whose stream no server could take, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A server that runs a prompt and was not heard for this time is asked whether it is there.
+const ASK_AFTER: Millis = Millis(600);
+
+/// How long a server may take to accept a connection when it is asked whether it is there.
+const ASK_LIMIT: Millis = Millis(250);
+
+/// The silence between events that is taken as a loss: at least the first, at most the second.
+const SILENCE_MS: (u64, u64) = (450, 1_500);
+
+/// The memory of the engines of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Memory {
+    /// The tokens that an engine holds.
+    capacity: u64,
+    /// The tokens that this request needs.
+    needed: u64,
+    /// The tokens of its prompt.
+    prompt: u64,
+    /// Whether engines copy what they hold to others.
+    copies: bool,
+}
+
+/// A run of the stream at one server.
+struct Run {
+    body: Incoming,
+    splitter: Splitter,
+    link: Link,
+    head: Head,
+    lease: Lease,
+    copy: Option<Lease>,
+}
+
+/// A stream on its way to the caller.
+struct Flow {
+    ctx: Arc<Context>,
+    job: Arc<Job>,
+    memory: Memory,
+    tries: Tries,
+    avoid: Vec<BackendId>,
+    progress: Progress,
+    run: Option<Run>,
+    /// The first event, read before the head of the answer was passed on.
+    first: Option<Event>,
+}
+
+/// Why a run gives no more events.
+enum End {
+    /// The answer is whole.
+    Whole,
+    /// The run is lost.
+    Lost(Outcome),
+}
+
+/// Runs a stream and answers its caller once its first event has come.
+pub async fn run(ctx: Arc<Context>, job: Arc<Job>) -> Response<Body> {
+    let mut flow = Flow::new(ctx, job);
+    loop {
+        let outcome = match flow.begin(None).await {
+            Ok(headers) => return flow.answer(headers),
+            Err(Some(outcome)) => outcome,
+            Err(None) => return flow.end(flow.tries.give_up(), "no_server"),
+        };
+        if outcome == Outcome::Silent && flow.job.left(flow.ctx.now()) == Millis(0) {
+            return flow.end(Next::Unknown, "timeout");
+        }
+        match flow.next(outcome) {
+            Next::Resend => {}
+            next => return flow.end(next, outcome.into()),
+        }
+        if outcome == Outcome::NotRun {
+            flow.ctx.timer.after(REJECTED_PAUSE).await;
+        }
+    }
+}
+
+impl Flow {
+    fn new(ctx: Arc<Context>, job: Arc<Job>) -> Self {
+        let policy = Policy {
+            floor_ms: SILENCE_MS.0,
+            ceiling_ms: SILENCE_MS.1,
+            ..Policy::default()
+        };
+        let progress = Progress::new(ctx.now(), job.call.last_event, policy);
+        Self {
+            memory: memory(&ctx, &job),
+            ctx,
+            job,
+            tries: Tries::default(),
+            avoid: Vec::new(),
+            progress,
+            run: None,
+            first: None,
+        }
+    }
+
+    /// What is to be done after a send that failed.
+    fn next(&mut self, outcome: Outcome) -> Next {
+        let route = &self.job.plan.route;
+        let ctx = &self.ctx;
+        self.tries
+            .next(outcome, route.kind, route.attempts, || ctx.spend())
+    }
+
+    /// Starts a run at some server and waits for its first event.
+    ///
+    /// Returns the headers of the answer; `Err(None)` if no server can be had.
+    async fn begin(&mut self, copy: Option<Lease>) -> Result<HeaderMap, Option<Outcome>> {
+        let now = self.ctx.now();
+        let resumes = copy.is_some();
+        let copy_addr = copy.as_ref().map(|c| c.addr.to_string());
+        let mut lease = match copy {
+            Some(copy) => self
+                .ctx
+                .servers
+                .take(now, &copy.id, self.load(false))
+                .ok_or(Some(Outcome::Unsent))?,
+            None => self.place().ok_or(None)?,
+        };
+        let backup = self.place_copy(&lease);
+        let backup_addr = backup.as_ref().map(|b| b.addr.to_string());
+        let extra = Extra {
+            last_event: self.progress.last(),
+            copy_to: backup_addr.as_deref(),
+            copy: copy_addr.as_deref(),
+        };
+        let (ctx, job) = (Arc::clone(&self.ctx), Arc::clone(&self.job));
+        tracing::info!(
+            id = %job.call.id, server = %lease.id, copy = backup.as_ref().map_or("", |b| b.id.as_str()),
+            resumes, last = ?extra.last_event, age_ms = now.since(job.since).0,
+            left_ms = job.left(now).0, version = job.plan.version.0, "stream placed"
+        );
+        let id = lease.id.clone();
+        let left = job.left(now).duration();
+        let result = tokio::select! {
+            biased;
+            result = first_event(&ctx, &job, &lease, &extra) => result,
+            () = gone(&ctx, &id) => Err(Outcome::Silent),
+            () = tokio::time::sleep(left) => Err(Outcome::Silent),
+        };
+        let (opened, splitter, event) = match result {
+            Ok(parts) => parts,
+            Err(outcome) => {
+                self.avoid.push(id);
+                return Err(Some(outcome));
+            }
+        };
+        lease.started();
+        let (parts, body) = opened.response.into_parts();
+        self.first = Some(event);
+        self.run = Some(Run {
+            body,
+            splitter,
+            link: opened.link,
+            head: opened.head,
+            lease,
+            copy: backup,
+        });
+        Ok(parts.headers)
+    }
+
+    /// Answers the caller with the head of the first run and the events of all.
+    fn answer(self, headers: HeaderMap) -> Response<Body> {
+        let seconds = self.ctx.now().since(self.job.since).0 as f64 / 1_000.0;
+        let cause = self.job.plan.route.kind.into();
+        self.ctx
+            .metrics
+            .latency
+            .get_or_create(&Cause { cause })
+            .observe(seconds);
+        let frames = stream::unfold(Some(self), |flow| async {
+            let mut flow = flow?;
+            match flow.pull().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(flow))),
+                Ok(None) => None,
+                Err(cut) => Some((Err(cut), None)),
+            }
+        });
+        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+        *response.headers_mut() = answer::forwarded(&headers);
+        response
+    }
+
+    /// The next bytes for the caller; `None` after the last.
+    async fn pull(&mut self) -> Result<Option<Bytes>, Cut> {
+        loop {
+            match self.event().await {
+                Ok(event) => match self.progress.event(self.ctx.now(), &event) {
+                    Step::Pass => return Ok(Some(event.bytes)),
+                    Step::Drop => {}
+                    Step::Gap => self.resume(Outcome::Broken).await?,
+                },
+                Err(End::Whole) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Err(End::Lost(outcome)) => self.resume(outcome).await?,
+            }
+        }
+    }
+
+    /// The next event of the current run.
+    async fn event(&mut self) -> Result<Event, End> {
+        if let Some(event) = self.first.take() {
+            return Ok(event);
+        }
+        let now = self.ctx.now();
+        let Some(run) = &mut self.run else {
+            return Err(End::Lost(Outcome::Broken));
+        };
+        let until = self.progress.suspect_at().min(self.job.until);
+        tokio::select! {
+            biased;
+            event = next_event(&mut run.body, &mut run.splitter) => match event {
+                Ok(Some(event)) => {
+                    self.ctx.servers.heard(&run.lease.id, now);
+                    Ok(event)
+                }
+                Ok(None) => Err(End::Whole),
+                Err(outcome) => Err(End::Lost(outcome)),
+            },
+            () = self.ctx.timer.at(until) => Err(End::Lost(Outcome::Silent)),
+        }
+    }
+
+    /// Continues the stream at another server.
+    async fn resume(&mut self, mut outcome: Outcome) -> Result<(), Cut> {
+        let heard = self.progress.heard();
+        let mut copy = self.leave(outcome);
+        loop {
+            if self.job.left(self.ctx.now()) == Millis(0) {
+                return Err(self.cut("timeout"));
+            }
+            if self.next(outcome) != Next::Resend {
+                return Err(self.cut(outcome.into()));
+            }
+            let source = if copy.is_some() { "copy" } else { "prompt" };
+            match self.begin(copy.take()).await {
+                Ok(_) => {
+                    let now = self.ctx.now();
+                    self.resumed(source, now.since(heard));
+                    self.progress.reopened(now);
+                    return Ok(());
+                }
+                Err(Some(failed)) => outcome = failed,
+                Err(None) => return Err(self.cut("no_server")),
+            }
+            if outcome == Outcome::NotRun && source == "prompt" {
+                self.ctx.timer.after(REJECTED_PAUSE).await;
+            }
+        }
+    }
+
+    /// Ends the current run; returns the lease of the copy of its memory.
+    fn leave(&mut self, outcome: Outcome) -> Option<Lease> {
+        let run = self.run.take()?;
+        let now = self.ctx.now();
+        self.ctx.servers.lost(&run.lease.id, now);
+        tracing::info!(
+            id = %self.job.call.id, server = %run.lease.id, %outcome, last = ?self.progress.last(),
+            silence_ms = now.since(self.progress.heard()).0, "run lost"
+        );
+        self.avoid.push(run.lease.id.clone());
+        run.copy
+    }
+
+    fn resumed(&self, cause: &'static str, silence: Millis) {
+        let server = self.run.as_ref().map_or("", |r| r.lease.id.as_str());
+        tracing::info!(
+            id = %self.job.call.id, server, source = cause, silence_ms = silence.0,
+            last = ?self.progress.last(), "stream resumed"
+        );
+        let metrics = &self.ctx.metrics;
+        metrics.resumes.get_or_create(&Cause { cause }).inc();
+        let seconds = silence.0 as f64 / 1_000.0;
+        metrics
+            .resume_gap
+            .get_or_create(&Cause { cause })
+            .observe(seconds);
+    }
+
+    /// The stream is whole.
+    fn finish(&mut self) {
+        let Some(run) = self.run.take() else { return };
+        let now = self.ctx.now();
+        if !run.head.closes {
+            self.ctx
+                .servers
+                .keep(&run.lease.id, run.link, now, run.head.idle);
+        }
+        self.job
+            .ended(&self.ctx, "answered", run.head.status, Some(&run.lease.id));
+    }
+
+    /// The stream cannot go on.
+    fn cut(&mut self, cause: &'static str) -> Cut {
+        self.run = None;
+        self.job
+            .ended(&self.ctx, cause, StatusCode::BAD_GATEWAY, None);
+        Cut
+    }
+
+    /// Answers a caller who got no event.
+    fn end(&self, next: Next, cause: &'static str) -> Response<Body> {
+        let response = match next {
+            Next::Refuse => reply::refused(
+                "no_capacity",
+                "no backend server could take the stream; it has not run, come back later",
+                RETRY_AFTER_MS,
+            ),
+            _ if cause == "timeout" => reply::unknown(
+                StatusCode::GATEWAY_TIMEOUT,
+                "timeout",
+                "no event came within the time limit; ask again",
+            ),
+            _ => reply::unknown(
+                StatusCode::BAD_GATEWAY,
+                "lost",
+                "the stream was lost before its first event; ask again",
+            ),
+        };
+        self.job.ended(&self.ctx, cause, response.status(), None);
+        response
+    }
+
+    fn place(&self) -> Option<Lease> {
+        let want = Want {
+            service: self.job.plan.service.as_str(),
+            load: self.load(true),
+            capacity: self.memory.capacity,
+            avoid: &self.avoid,
+            avoid_centre: None,
+        };
+        self.ctx.servers.place(self.ctx.now(), &want)
+    }
+
+    /// A server in another data centre for a copy of the run's memory.
+    fn place_copy(&self, lease: &Lease) -> Option<Lease> {
+        if !self.memory.copies || !self.job.plan.route.kind.may_repeat() {
+            return None;
+        }
+        let mut avoid = self.avoid.clone();
+        avoid.push(lease.id.clone());
+        let want = Want {
+            service: self.job.plan.service.as_str(),
+            load: Load {
+                copies: self.memory.needed,
+                ..Load::default()
+            },
+            capacity: self.memory.capacity,
+            avoid: &avoid,
+            avoid_centre: Some(lease.centre.as_str()),
+        };
+        let copy = self.ctx.servers.place(self.ctx.now(), &want)?;
+        (copy.id != lease.id).then_some(copy)
+    }
+
+    fn load(&self, reads_prompt: bool) -> Load {
+        Load {
+            prefill: if reads_prompt { self.memory.prompt } else { 0 },
+            memory: self.memory.needed,
+            copies: 0,
+            running: 1,
+        }
+    }
+}
+
+/// Opens a stream and waits for its first event.
+async fn first_event(
+    ctx: &Context,
+    job: &Job,
+    lease: &Lease,
+    extra: &Extra<'_>,
+) -> Result<(Opened, Splitter, Event), Outcome> {
+    let mut opened = send::open(ctx, job, lease, extra).await?;
+    if !opened.head.status.is_success() {
+        return Err(Outcome::Failed);
+    }
+    let mut splitter = Splitter::default();
+    match next_event(opened.response.body_mut(), &mut splitter).await? {
+        Some(event) => {
+            ctx.servers.heard(&lease.id, ctx.now());
+            Ok((opened, splitter, event))
+        }
+        None => Err(Outcome::Broken),
+    }
+}
+
+/// The next whole event of a body; `None` at its end.
+async fn next_event(
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+) -> Result<Option<Event>, Outcome> {
+    loop {
+        if let Some(event) = splitter.next().map_err(|_| Outcome::Broken)? {
+            return Ok(Some(event));
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    splitter.push(bytes);
+                }
+            }
+            Some(Err(_)) => return Err(Outcome::Broken),
+            None if splitter.is_partial() => return Err(Outcome::Broken),
+            None => return Ok(None),
+        }
+    }
+}
+
+/// Waits until a server that gives no output is found to be gone.
+async fn gone(ctx: &Context, id: &BackendId) {
+    let mut heard = ctx.now();
+    loop {
+        heard = heard.max(ctx.servers.last_heard(id));
+        ctx.timer.at(heard + ASK_AFTER).await;
+        if ctx.servers.last_heard(id) > heard {
+            continue;
+        }
+        let addr = ctx.servers.lock().roster.get(id).map(|m| m.entry.addr);
+        let Some(addr) = addr else { return };
+        ctx.metrics.connected("liveness");
+        let asked = Link::open(addr, ASK_LIMIT).await;
+        let now = ctx.now();
+        match asked {
+            Ok(link) => {
+                ctx.servers.heard(id, now);
+                ctx.servers.keep(id, link, now, None);
+            }
+            Err(error) => {
+                tracing::info!(server = %id, %addr, silence_ms = now.since(heard).0, %error, "server silent");
+                ctx.servers.lost(id, now);
+                return;
+            }
+        }
+    }
+}
+
+/// What the request needs of the engines' memory.
+fn memory(ctx: &Context, job: &Job) -> Memory {
+    let snapshot = ctx.snapshot.load();
+    let service = snapshot.as_ref().and_then(|s| s.service(&job.plan.service));
+    let Some(engine) = service.and_then(|s| s.engine) else {
+        return Memory::default();
+    };
+    let prompt = job.call.prompt.unwrap_or_default();
+    Memory {
+        capacity: engine.memory,
+        needed: prompt.memory(),
+        prompt: prompt.input,
+        copies: engine.copies,
+    }
+}
--- /dev/null
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -0,0 +1,312 @@
+//! Keeps the configuration and the backend servers in step with the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use membership::roster::Change;
+use platform::store::{self, CONFIG_KEY, Row, Rows, StoreError, Table};
+use platform::{config, servers};
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::link::{Link, SendError};
+
+/// How long the store holds a call open until something changes.
+const WAIT: Millis = Millis(1_500);
+
+/// The longest wait for an answer beyond the time for which the call is held open.
+const LIMIT: Millis = Millis(700);
+
+/// The wait for a connection to the store.
+const CONNECT: Millis = Millis(500);
+
+/// The pause after a call that failed; it doubles up to the second value.
+const PAUSE: (Millis, Millis) = (Millis(100), Millis(800));
+
+/// Why a call to the store gave no rows.
+#[derive(Debug, Error)]
+enum SyncError {
+    #[error("the store is not reachable: {0}")]
+    Connect(std::io::Error),
+    #[error("the connection to the store broke")]
+    Broken,
+    #[error("the store did not answer in time")]
+    Silent,
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
+impl SyncError {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Connect(_) => "unreachable",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Store(StoreError::Compacted) => "compacted",
+            Self::Store(StoreError::Refused(_)) => "refused",
+            Self::Store(StoreError::Malformed(_)) => "malformed",
+        }
+    }
+}
+
+/// The watch of one table.
+struct Watch {
+    ctx: Arc<Context>,
+    table: Table,
+    addr: watch::Receiver<SocketAddr>,
+    link: Option<Link>,
+    /// The revision up to which the table is known; `None` before it was read whole.
+    revision: Option<u64>,
+    is_lost: bool,
+}
+
+/// Follows a table for ever.
+pub async fn follow(ctx: Arc<Context>, table: Table, addr: watch::Receiver<SocketAddr>) {
+    let mut watch = Watch {
+        ctx,
+        table,
+        addr,
+        link: None,
+        revision: None,
+        is_lost: false,
+    };
+    let mut pause = PAUSE.0;
+    loop {
+        match watch.step().await {
+            Ok(()) => pause = PAUSE.0,
+            Err(SyncError::Store(StoreError::Compacted)) => {
+                watch.changed("compacted");
+                watch.revision = None;
+            }
+            Err(error) => {
+                watch.failed(&error);
+                watch.ctx.timer.after(pause).await;
+                pause = (pause + pause).min(PAUSE.1);
+            }
+        }
+    }
+}
+
+impl Watch {
+    /// Reads the table whole, or waits for its next changes.
+    async fn step(&mut self) -> Result<(), SyncError> {
+        match self.revision {
+            None => self.read().await,
+            Some(revision) => {
+                let path = store::watch_path(self.table, revision, WAIT);
+                let rows = self.call(&path, WAIT + LIMIT).await?;
+                self.reached();
+                self.changes(&rows);
+                self.revision = Some(rows.revision.max(revision));
+                Ok(())
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), SyncError> {
+        let mut all: Vec<Row> = Vec::new();
+        let mut first = None;
+        loop {
+            let after = all.last().map(|r| r.key.clone());
+            let path = store::read_path(self.table, after.as_deref());
+            let rows = self.call(&path, LIMIT).await?;
+            // Changes made while the pages are read are told by the watch that follows.
+            let revision = *first.get_or_insert(rows.revision);
+            let is_last = !rows.is_partial || rows.rows.is_empty();
+            all.extend(rows.rows);
+            if is_last {
+                self.reached();
+                self.whole(&all, revision);
+                self.revision = Some(revision);
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes in a whole reading of the table.
+    fn whole(&self, rows: &[Row], revision: u64) {
+        let now = self.ctx.now();
+        for row in rows {
+            self.row(row, now);
+        }
+        if self.table == Table::Servers {
+            let mut listed: Vec<BackendId> = rows
+                .iter()
+                .map(|r| BackendId::from(r.key.as_str()))
+                .collect();
+            listed.sort();
+            let missing = self
+                .ctx
+                .servers
+                .lock()
+                .roster
+                .keep_only(&listed, revision, now);
+            for id in missing {
+                tracing::info!(server = %id, revision, "server is missing from a whole reading");
+            }
+        }
+        let table: &'static str = self.table.into();
+        tracing::info!(table, revision, rows = rows.len(), "table read");
+    }
+
+    fn changes(&self, rows: &Rows) {
+        let now = self.ctx.now();
+        for row in &rows.rows {
+            self.row(row, now);
+        }
+    }
+
+    fn row(&self, row: &Row, now: Millis) {
+        match self.table {
+            Table::Operator if row.key == CONFIG_KEY => self.config(row),
+            Table::Operator => {}
+            Table::Servers => self.server(row, now),
+        }
+    }
+
+    fn config(&self, row: &Row) {
+        let Some(value) = &row.value else {
+            tracing::warn!(
+                revision = row.revision,
+                "the configuration's row is gone; the version before stays in force"
+            );
+            return;
+        };
+        let snapshot = match config::decode(value) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                tracing::warn!(revision = row.revision, %error, "configuration rejected");
+                return;
+            }
+        };
+        let held = self.ctx.snapshot.load().as_ref().map(|s| s.version);
+        if held.is_some_and(|v| v >= snapshot.version) {
+            return;
+        }
+        tracing::info!(
+            version = snapshot.version.0,
+            before = held.map_or(0, |v| v.0),
+            revision = row.revision,
+            routes = snapshot.route_count(),
+            "configuration in force"
+        );
+        self.ctx
+            .metrics
+            .version
+            .set(snapshot.version.0.cast_signed());
+        self.ctx.snapshot.store(Some(Arc::new(snapshot)));
+    }
+
+    fn server(&self, row: &Row, now: Millis) {
+        let id = BackendId::from(row.key.as_str());
+        let change = match row.value.as_deref().map(servers::decode) {
+            None => self
+                .ctx
+                .servers
+                .lock()
+                .roster
+                .remove(&id, row.revision, now),
+            Some(Ok(entry)) => {
+                let mut fleet = self.ctx.servers.lock();
+                let change = fleet.roster.put(id.clone(), entry, row.revision);
+                if change == Change::Restarted {
+                    fleet.restarted(&id);
+                }
+                change
+            }
+            Some(Err(error)) => {
+                tracing::warn!(server = %id, revision = row.revision, %error, "row passed over");
+                self.ctx
+                    .servers
+                    .lock()
+                    .roster
+                    .remove(&id, row.revision, now)
+            }
+        };
+        if change != Change::None {
+            let change: &'static str = change.into();
+            tracing::info!(server = %id, revision = row.revision, change, "server changed");
+        }
+        let listed = self.ctx.servers.lock().roster.len();
+        self.ctx.metrics.servers.set(listed as i64);
+    }
+
+    /// Calls the store over the connection that is kept.
+    async fn call(&mut self, path: &str, limit: Millis) -> Result<Rows, SyncError> {
+        let result = match tokio::time::timeout(limit.duration(), self.exchange(path)).await {
+            Ok(result) => result,
+            Err(_) => Err(SyncError::Silent),
+        };
+        match &result {
+            Ok(_) => self.ctx.metrics.store_call("answered"),
+            Err(error) => {
+                self.ctx.metrics.store_call(error.name());
+                if !matches!(error, SyncError::Store(_)) {
+                    self.link = None;
+                }
+            }
+        }
+        result
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<Rows, SyncError> {
+        let addr = *self.addr.borrow_and_update();
+        let mut link = match self.link.take().filter(|l| !l.is_closed()) {
+            Some(link) => link,
+            None => Link::open(addr, CONNECT)
+                .await
+                .map_err(SyncError::Connect)?,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().map_err(|_| SyncError::Broken)?;
+        if let Ok(host) = addr.to_string().parse() {
+            request.headers_mut().insert(hyper::header::HOST, host);
+        }
+        let response = link.send(request).await.map_err(|e| match e {
+            SendError::Unsent | SendError::Broken(_) => SyncError::Broken,
+        })?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|_| SyncError::Broken)?.to_bytes();
+        self.link = Some(link);
+        Ok(store::decode(status, &body)?)
+    }
+
+    fn failed(&mut self, error: &SyncError) {
+        let table: &'static str = self.table.into();
+        if !self.is_lost {
+            self.is_lost = true;
+            tracing::warn!(table, %error, "store lost; what is held stays in force");
+        }
+        if self.table == Table::Servers {
+            self.ctx.servers.lock().roster.lost();
+        }
+    }
+
+    fn reached(&mut self) {
+        let now = self.ctx.now();
+        if self.table == Table::Servers {
+            let mut fleet = self.ctx.servers.lock();
+            fleet.roster.reached(now);
+            fleet.sweep(now);
+        }
+        if std::mem::take(&mut self.is_lost) {
+            self.changed("regained");
+        }
+    }
+
+    fn changed(&self, change: &'static str) {
+        let table: &'static str = self.table.into();
+        tracing::info!(
+            table,
+            change,
+            revision = self.revision.unwrap_or(0),
+            "store"
+        );
+    }
+}
--- a/crates/gooseberry-router/src/claims.rs
+++ b/crates/gooseberry-router/src/claims.rs
@@ -10,9 +10,9 @@
 use calls::batch::{Batcher, Reply, Verdict, Write};
 use calls::once::Expected;
 use calls::record::{Held, Owner, Record};
-use platform::client::Platform;
-use platform::wire::{Expect, Found, Op, Outcome, Row, Transact, Write as Effect};
 use serde_json::{Value, json};
+use store::client::Platform;
+use store::wire::{Expect, Found, Op, Outcome, Row, Transact, Write as Effect};
 use tokio::sync::{mpsc, oneshot};
 use web::client::CallError;
 
--- a/crates/gooseberry-router/src/services/clear.rs
+++ b/crates/gooseberry-router/src/services/clear.rs
@@ -8,7 +8,7 @@
 use base::hash::rendezvous;
 use base::prelude::*;
 use calls::record::{Body, Held, PARTS, State, part_prefix};
-use platform::wire::{Expect, Op, Scan, Transact, Write};
+use store::wire::{Expect, Op, Scan, Transact, Write};
 use web::client::CallError;
 
 use crate::claims::{held, platform};
--- a/crates/gooseberry-router/tests/clear_rows.rs
+++ b/crates/gooseberry-router/tests/clear_rows.rs
@@ -10,8 +10,8 @@
 use gooseberry_router::context::Router;
 use gooseberry_router::services::clear::clear_part;
 use hyper::Method;
-use platform::wire::{Row, Scan};
 use site::{Site, document, stand_in};
+use store::wire::{Row, Scan};
 use tokio_util::sync::CancellationToken;
 
 /// A body that is kept in the object store, in bytes.
--- a/crates/gooseberry-standin/src/platform.rs
+++ b/crates/gooseberry-standin/src/platform.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use base::sorted::Sorted;
-use platform::wire::{Host, HostList};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use store::wire::{Host, HostList};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
--- a/crates/gooseberry-standin/src/platform/http.rs
+++ b/crates/gooseberry-standin/src/platform/http.rs
@@ -5,9 +5,9 @@
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use platform::wire::{Host, Read, Scan, Transact};
 use serde::Serialize;
 use serde_json::Value;
+use store::wire::{Host, Read, Scan, Transact};
 use tokio::time::sleep;
 use web::{Response, StreamCut, reply};
 
--- a/crates/gooseberry-standin/src/platform/table.rs
+++ b/crates/gooseberry-standin/src/platform/table.rs
@@ -1,8 +1,8 @@
 //! A table with conditional writes and transactions over several rows.
 
 use base::sorted::Sorted;
-use platform::wire::{Expect, Found, Op, Outcome, Row, Scan, Write};
 use serde_json::Value;
+use store::wire::{Expect, Found, Op, Outcome, Row, Scan, Write};
 
 /// A value and the number of the write that made it.
 #[derive(Clone, Debug)]
--- a/crates/gooseberryctl/tests/apply.rs
+++ b/crates/gooseberryctl/tests/apply.rs
@@ -6,8 +6,8 @@
 
 use base::hash::key_digest;
 use gooseberry_standin::platform as standin;
-use platform::wire::{Host, HostKind};
 use serde_json::{Value, json};
+use store::wire::{Host, HostKind};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/gooseberryctl/tests/examples.rs
+++ b/crates/gooseberryctl/tests/examples.rs
@@ -4,10 +4,10 @@
 
 use generation::policy::Mode;
 use gooseberryctl::declarations;
-use platform::wire::{Host, HostKind};
 use profiles::document::Document;
 use settings::agent::Agent;
 use settings::router::Router;
+use store::wire::{Host, HostKind};
 
 fn example(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod members;
 pub mod own;
 pub mod policy;
+pub mod roster;
 
 pub use beat::Beat;
 pub use members::Members;
 pub use policy::Policy;
+pub use roster::Roster;
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,14 @@
+//! What becomes of one request on its way to backend servers and back.
+//!
+//! Pure: outcomes of sends and bytes of answers come in, decisions go out. The crate knows nothing of
+//! connections.
+
+pub mod budget;
+pub mod events;
+pub mod outcome;
+pub mod progress;
+
+pub use budget::Budget;
+pub use events::{Event, SplitError, Splitter};
+pub use outcome::{Next, Outcome, Tries};
+pub use progress::{Progress, Step};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod common;
+pub mod gateway;
 pub mod load;
 pub mod router;
 
--- a/crates/telemetry/src/daemon.rs
+++ b/crates/telemetry/src/daemon.rs
@@ -18,13 +18,27 @@
     file: &Path,
     is_check: bool,
     log: impl FnOnce(&T) -> &Log,
+) -> Result<T, ExitCode> {
+    let settings: T = read(program, file, is_check)?;
+    crate::logs::start(log(&settings));
+    Ok(settings)
+}
+
+/// Reads and checks the settings.
+///
+/// # Errors
+///
+/// The exit code if the process is to end here: the settings are wrong, or were only to be checked.
+pub fn read<T: DeserializeOwned + Checked>(
+    program: &str,
+    file: &Path,
+    is_check: bool,
 ) -> Result<T, ExitCode> {
     let settings: T = settings::load(file).map_err(|e| failed(program, &e))?;
     if is_check {
         println!("{}: correct", file.display());
         return Err(ExitCode::SUCCESS);
     }
-    crate::logs::start(log(&settings));
     Ok(settings)
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod daemon;
+pub mod lines;
 pub mod logs;
 pub mod metrics;
 pub mod signals;
