gateway: losses are spread, copies are watched, silence is confirmed

Silences of over a second came from streams with an uneven cadence. A host that was told to stop ended while streams ran (LOST), because only the head of an answer counted as in flight. Ruled out: using a copy before the first event; engines answer that they have none. Change: a row whose address has a later server is not used; a loss makes the host ask the servers beside it; the holder of a copy is asked before it is used and checked while the stream runs, and a lost copy is made anew by a call; a silent server is asked by a connection; a stopping host counts streams until they are whole and starts no calls late in its grace.

--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -1,5 +1,7 @@
 //! Requests whose answers are whole: calls to plain services.
 
+use std::sync::Arc;
+
 use balance::place::Load;
 use base::prelude::*;
 use bytes::Bytes;
@@ -30,7 +32,7 @@
 }
 
 /// Runs a call and answers its caller.
-pub async fn run(ctx: &Context, job: &Job) -> Response<Body> {
+pub async fn run(ctx: &Arc<Context>, job: &Job) -> Response<Body> {
     let mut tries = Tries::default();
     let mut avoid: Vec<BackendId> = Vec::new();
     loop {
@@ -79,7 +81,7 @@
 
 /// Sends the request and reads the whole answer.
 async fn exchange(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     job: &Job,
     lease: &crate::fleet::Lease,
 ) -> Result<Answer, Outcome> {
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! What the requests of a host share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use base::prelude::*;
@@ -13,6 +13,7 @@
 use crate::metrics::Metrics;
 
 /// What the requests of a host share.
+#[derive(Debug)]
 pub struct Context {
     /// The clock.
     pub timer: Timer,
@@ -82,3 +83,21 @@
         work(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
+
+/// Counts a request while it is in flight: until its answer is whole, or its caller has left.
+#[derive(Debug)]
+pub struct InFlight(Arc<Context>);
+
+impl InFlight {
+    /// Counts a request that has just come.
+    pub fn new(ctx: &Arc<Context>) -> Self {
+        ctx.metrics.in_flight.inc();
+        Self(Arc::clone(ctx))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -28,6 +28,10 @@
     health: Health,
     /// When bytes last came from it.
     heard: Millis,
+    /// When it was last asked whether it is there.
+    asked: Millis,
+    /// When it was last found to be gone.
+    lost: Option<Millis>,
     /// Connections without a request, and until when they may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -113,10 +117,57 @@
     pub fn lost(&self, id: &BackendId, now: Millis) {
         if let Some(server) = self.lock().servers.get_mut(id) {
             server.health.lost(now);
+            server.lost = Some(now);
             server.idle.clear();
         }
     }
 
+    /// The address of a server that is listed and that no other has replaced.
+    pub fn addr(&self, id: &BackendId) -> Option<SocketAddr> {
+        let fleet = self.lock();
+        let member = fleet.roster.get(id)?;
+        (!member.is_replaced).then_some(member.entry.addr)
+    }
+
+    /// Whether a server has been there without a break since `since`, as far as is known.
+    pub fn is_sound(&self, id: &BackendId, since: Millis) -> bool {
+        let fleet = self.lock();
+        let is_listed = fleet.roster.get(id).is_some_and(|m| !m.is_replaced);
+        let lost = fleet.servers.get(id).and_then(|s| s.lost);
+        is_listed && lost.is_none_or(|at| at < since)
+    }
+
+    /// At most `limit` servers of the same service and data centre as `id` that are believed to be
+    /// there but were neither heard nor asked within `recent`; they count as asked now.
+    pub fn beside(
+        &self,
+        id: &BackendId,
+        now: Millis,
+        recent: Millis,
+        limit: usize,
+    ) -> Vec<(BackendId, SocketAddr)> {
+        let mut guard = self.lock();
+        let fleet = &mut *guard;
+        let Some(lost) = fleet.roster.get(id).map(|m| m.entry.clone()) else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for (id, member) in fleet.roster.iter() {
+            let entry = &member.entry;
+            let is_beside = entry.service == lost.service && entry.centre == lost.centre;
+            if !is_beside || !member.is_usable(now) || found.len() == limit {
+                continue;
+            }
+            let server = fleet.servers.entry(id.clone(), Server::default);
+            let is_known = now.since(server.heard.max(server.asked)) < recent && now > recent;
+            if !is_known && !server.health.is_ejected(now) {
+                server.asked = now;
+                found.push((id.clone(), entry.addr));
+            }
+        }
+        found
+    }
+
     /// An idle connection to a server, if there is a usable one.
     pub fn idle(&self, id: &BackendId, now: Millis) -> Option<Link> {
         let mut fleet = self.lock();
--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod calls;
 pub mod context;
+pub mod copies;
 pub mod fleet;
 pub mod link;
+pub mod liveness;
 pub mod metrics;
 pub mod reply;
 pub mod run;
--- /dev/null
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -0,0 +1,86 @@
+//! Whether backend servers are there: losses are spread to what shares their fate.
+//!
+//! A registry lists a dead server for seconds. What this host sees of one server says something of the
+//! others in its data centre, which a new connection confirms or refutes within milliseconds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+
+use crate::context::Context;
+use crate::link::Link;
+
+/// A server that runs a prompt and was not heard for this time is asked whether it is there.
+const ASK_AFTER: Millis = Millis(600);
+
+/// How long a server may take to accept a connection when it is asked whether it is there.
+const ASK_LIMIT: Millis = Millis(250);
+
+/// A server that was heard within this time is not asked after a loss beside it.
+const HEARD: Millis = Millis(150);
+
+/// The servers that are asked after a loss beside them; bounds what many hosts do at once.
+const MAX_ASKED: usize = 8;
+
+/// A server is not reachable or fell silent: leaves it out, and asks those beside it.
+pub fn lost(ctx: &Arc<Context>, id: &BackendId) {
+    let now = ctx.now();
+    ctx.servers.lost(id, now);
+    for (id, addr) in ctx.servers.beside(id, now, HEARD, MAX_ASKED) {
+        let ctx = Arc::clone(ctx);
+        tokio::spawn(async move {
+            ask(&ctx, &id, addr, ASK_LIMIT).await;
+        });
+    }
+}
+
+/// Whether a server is there: it was heard within `recent`, or accepts a connection within `limit`.
+pub async fn is_there(ctx: &Context, id: &BackendId, recent: Millis, limit: Millis) -> bool {
+    let now = ctx.now();
+    if now.since(ctx.servers.last_heard(id)) < recent && ctx.servers.is_sound(id, now - recent) {
+        return true;
+    }
+    match ctx.servers.addr(id) {
+        Some(addr) => ask(ctx, id, addr, limit).await,
+        None => false,
+    }
+}
+
+/// Asks a server whether it is there; returns the answer.
+async fn ask(ctx: &Context, id: &BackendId, addr: SocketAddr, limit: Millis) -> bool {
+    ctx.metrics.connected("liveness");
+    let asked = Link::open(addr, limit).await;
+    let now = ctx.now();
+    match asked {
+        Ok(link) => {
+            ctx.servers.heard(id, now);
+            ctx.servers.keep(id, link, now, None);
+            true
+        }
+        Err(error) => {
+            let silence = now.since(ctx.servers.last_heard(id));
+            tracing::info!(server = %id, %addr, silence_ms = silence.0, %error, "server gone");
+            ctx.servers.lost(id, now);
+            false
+        }
+    }
+}
+
+/// Waits until a server that gives no output is found to be gone.
+pub async fn gone(ctx: &Context, id: &BackendId) {
+    let mut heard = ctx.now();
+    loop {
+        heard = heard.max(ctx.servers.last_heard(id));
+        ctx.timer.at(heard + ASK_AFTER).await;
+        if ctx.servers.last_heard(id) > heard {
+            continue;
+        }
+        let Some(addr) = ctx.servers.addr(id) else {
+            return;
+        };
+        if !ask(ctx, id, addr, ASK_LIMIT).await {
+            return;
+        }
+    }
+}
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -1,5 +1,8 @@
 //! One send of a caller's request to a backend server.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -7,16 +10,17 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use platform::answer::{self, Head};
-use platform::request::{self, Send};
+use platform::request::{self, Copy, Send};
 use relay::Outcome;
 use routing::{Call, Plan};
 
-use crate::context::Context;
+use crate::context::{Context, InFlight};
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
+use crate::liveness;
 
 /// The longest wait for a new connection; within a data centre it takes a few milliseconds.
-const CONNECT: Millis = Millis(400);
+const CONNECT: Millis = Millis(250);
 
 /// A caller's request, read whole.
 #[derive(Debug)]
@@ -37,6 +41,8 @@
     pub since: Millis,
     /// When its answer is of no more use.
     pub until: Millis,
+    /// Counts the request while its answer is not whole.
+    pub guard: InFlight,
 }
 
 /// What a stream adds to a send.
@@ -45,9 +51,9 @@
     /// The last event that the caller holds.
     pub last_event: Option<u64>,
     /// Where the run's memory is to be copied.
-    pub copy_to: Option<&'a str>,
+    pub copy_to: Option<SocketAddr>,
     /// Where a copy of an earlier run's memory lies.
-    pub copy: Option<&'a str>,
+    pub copy: Option<&'a Copy>,
 }
 
 /// The head of an answer that belongs to the request, and what it says.
@@ -79,7 +85,7 @@
             left: self.left(now),
             last_event: extra.last_event,
             copy_to: extra.copy_to,
-            copy: extra.copy.map(|addr| request::Copy { addr }),
+            copy: extra.copy,
         };
         request::encode(&mut headers, &self.call.id, &send);
         *request.headers_mut() = headers;
@@ -93,7 +99,7 @@
 ///
 /// The outcome, if there is no answer that belongs to the request and comes from a server that ran it.
 pub async fn open(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     job: &Job,
     lease: &Lease,
     extra: &Extra<'_>,
@@ -114,7 +120,7 @@
 }
 
 async fn opened(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     job: &Job,
     lease: &Lease,
     extra: &Extra<'_>,
@@ -125,7 +131,7 @@
         Ok(response) => response,
         Err(SendError::Unsent) => return Err(Outcome::Unsent),
         Err(SendError::Broken(_)) => {
-            ctx.servers.lost(&lease.id, ctx.now());
+            liveness::lost(ctx, &lease.id);
             return Err(Outcome::Broken);
         }
     };
@@ -137,7 +143,7 @@
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         // Another server has the address now; the row will follow.
-        ctx.servers.lost(&lease.id, ctx.now());
+        liveness::lost(ctx, &lease.id);
     }
     if head.is_unrun {
         return Err(Outcome::NotRun);
@@ -154,7 +160,7 @@
 }
 
 /// An idle connection, or a new one.
-async fn connect(ctx: &Context, lease: &Lease) -> Result<Link, Outcome> {
+async fn connect(ctx: &Arc<Context>, lease: &Lease) -> Result<Link, Outcome> {
     if let Some(link) = ctx.servers.idle(&lease.id, ctx.now()) {
         return Ok(link);
     }
@@ -162,7 +168,7 @@
     match Link::open(lease.addr, CONNECT).await {
         Ok(link) => Ok(link),
         Err(error) => {
-            ctx.servers.lost(&lease.id, ctx.now());
+            liveness::lost(ctx, &lease.id);
             tracing::info!(server = %lease.id, addr = %lease.addr, %error, "server not reachable");
             Err(Outcome::Unsent)
         }
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -16,7 +16,7 @@
 use routing::{Denial, Plan};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::context::Context;
+use crate::context::{Context, InFlight};
 use crate::metrics::{Cause, Ended};
 use crate::reply::{self, Body};
 use crate::send::Job;
@@ -34,6 +34,9 @@
 /// After this part of the grace, in percent, a stopping host starts no more streams.
 const STREAMS_UNTIL_PERCENT: u64 = 30;
 
+/// After this part of the grace, in percent, a stopping host starts no more calls.
+const CALLS_UNTIL_PERCENT: u64 = 55;
+
 /// When a caller may come back to another host, in milliseconds.
 const ELSEWHERE_MS: u64 = 50;
 
@@ -77,7 +80,7 @@
 
 /// Answers one request; it is in flight until then, or until its caller leaves.
 async fn handle(ctx: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
-    let _guard = InFlight::new(&ctx);
+    let guard = InFlight::new(&ctx);
     let since = ctx.now();
     let (head, body) = request.into_parts();
     let call = request::decode(&head);
@@ -100,6 +103,7 @@
                         uri: head.uri,
                         headers,
                         body: whole.to_bytes(),
+                        guard,
                     };
                     ctx.earn();
                     run(&ctx, job).await
@@ -115,23 +119,30 @@
 }
 
 async fn run(ctx: &Arc<Context>, job: Job) -> Response<Body> {
-    if !job.plan.route.kind.is_stream() {
-        return calls::run(ctx, &job).await;
-    }
-    let last_start = Millis(ctx.grace.0 * STREAMS_UNTIL_PERCENT / 100);
+    let is_stream = job.plan.route.kind.is_stream();
+    let percent = if is_stream {
+        STREAMS_UNTIL_PERCENT
+    } else {
+        CALLS_UNTIL_PERCENT
+    };
+    let last_start = Millis(ctx.grace.0 * percent / 100);
     if ctx
         .stopped()
         .is_some_and(|at| ctx.now().since(at) > last_start)
     {
         let response = reply::refused(
             "stopping",
-            "the host stops before the stream could end; it has not run, ask another host",
+            "the host stops before the answer could end; the request has not run, ask another host",
             ELSEWHERE_MS,
         );
         job.ended(ctx, "stopping", response.status(), None);
         return response;
     }
-    streams::run(Arc::clone(ctx), Arc::new(job)).await
+    if is_stream {
+        streams::run(Arc::clone(ctx), Arc::new(job)).await
+    } else {
+        calls::run(ctx, &job).await
+    }
 }
 
 /// What the configuration makes of a request, and the largest body that it allows.
@@ -212,22 +223,6 @@
     reply::denied(StatusCode::BAD_REQUEST, outcome, message)
 }
 
-/// Counts a request while it is in flight.
-struct InFlight(Arc<Context>);
-
-impl InFlight {
-    fn new(ctx: &Arc<Context>) -> Self {
-        ctx.metrics.in_flight.inc();
-        Self(Arc::clone(ctx))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.metrics.in_flight.dec();
-    }
-}
-
 impl Job {
     /// Logs and counts the end of a request.
     pub fn ended(
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -13,10 +13,13 @@
 use hyper::{Response, StatusCode};
 use platform::answer::{self, Head};
 use relay::{Event, Next, Outcome, Progress, Splitter, Step, Tries};
+use routing::Kind;
 
 use crate::context::Context;
+use crate::copies::{self, Held, Keeper, Memory};
 use crate::fleet::{Lease, Want};
 use crate::link::Link;
+use crate::liveness;
 use crate::metrics::Cause;
 use crate::reply::{self, Body, Cut};
 use crate::send::{self, Extra, Job, Opened};
@@ -27,27 +30,15 @@
 /// When a caller may come back whose stream no server could take, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// A server that runs a prompt and was not heard for this time is asked whether it is there.
-const ASK_AFTER: Millis = Millis(600);
+/// The silence between events after which a server is asked whether it is there.
+const ASK_AFTER: Millis = Millis(300);
 
-/// How long a server may take to accept a connection when it is asked whether it is there.
-const ASK_LIMIT: Millis = Millis(250);
+/// How long a server of a silent stream may take to accept a connection.
+const ASK_LIMIT: Millis = Millis(150);
 
-/// The silence between events that is taken as a loss: at least the first, at most the second.
-const SILENCE_MS: (u64, u64) = (450, 1_500);
-
-/// The memory of the engines of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct Memory {
-    /// The tokens that an engine holds.
-    capacity: u64,
-    /// The tokens that this request needs.
-    needed: u64,
-    /// The tokens of its prompt.
-    prompt: u64,
-    /// Whether engines copy what they hold to others.
-    copies: bool,
-}
+/// The silence between events that is taken as a loss although the server is there: at least the
+/// first, at most the second.
+const SILENCE_MS: (u64, u64) = (1_000, 1_500);
 
 /// A run of the stream at one server.
 struct Run {
@@ -56,7 +47,7 @@
     link: Link,
     head: Head,
     lease: Lease,
-    copy: Option<Lease>,
+    keeper: Option<Keeper>,
 }
 
 /// A stream on its way to the caller.
@@ -70,6 +61,8 @@
     run: Option<Run>,
     /// The first event, read before the head of the answer was passed on.
     first: Option<Event>,
+    /// The copy of the memory of the run that was lost last.
+    spare: Option<Held>,
 }
 
 /// Why a run gives no more events.
@@ -84,7 +77,7 @@
 pub async fn run(ctx: Arc<Context>, job: Arc<Job>) -> Response<Body> {
     let mut flow = Flow::new(ctx, job);
     loop {
-        let outcome = match flow.begin(None).await {
+        let outcome = match flow.begin().await {
             Ok(headers) => return flow.answer(headers),
             Err(Some(outcome)) => outcome,
             Err(None) => return flow.end(flow.tries.give_up(), "no_server"),
@@ -119,6 +112,7 @@
             progress,
             run: None,
             first: None,
+            spare: None,
         }
     }
 
@@ -132,30 +126,29 @@
 
     /// Starts a run at some server and waits for its first event.
     ///
-    /// Returns the headers of the answer; `Err(None)` if no server can be had.
-    async fn begin(&mut self, copy: Option<Lease>) -> Result<HeaderMap, Option<Outcome>> {
+    /// A copy of the memory of the run before is used if there is one. Returns the headers of the
+    /// answer; `Err(None)` if no server can be had.
+    async fn begin(&mut self) -> Result<HeaderMap, Option<Outcome>> {
         let now = self.ctx.now();
-        let resumes = copy.is_some();
-        let copy_addr = copy.as_ref().map(|c| c.addr.to_string());
-        let mut lease = match copy {
-            Some(copy) => self
+        let spare = self.spare.take();
+        let mut lease = match &spare {
+            Some(held) => self
                 .ctx
                 .servers
-                .take(now, &copy.id, self.load(false))
+                .take(now, &held.holder.id, self.load(false))
                 .ok_or(Some(Outcome::Unsent))?,
             None => self.place().ok_or(None)?,
         };
-        let backup = self.place_copy(&lease);
-        let backup_addr = backup.as_ref().map(|b| b.addr.to_string());
+        let holder = self.holder(&lease, self.progress.passed() > 0).await;
         let extra = Extra {
             last_event: self.progress.last(),
-            copy_to: backup_addr.as_deref(),
-            copy: copy_addr.as_deref(),
+            copy_to: holder.as_ref().map(|h| h.addr),
+            copy: spare.as_ref().map(|h| &h.copy),
         };
         let (ctx, job) = (Arc::clone(&self.ctx), Arc::clone(&self.job));
         tracing::info!(
-            id = %job.call.id, server = %lease.id, copy = backup.as_ref().map_or("", |b| b.id.as_str()),
-            resumes, last = ?extra.last_event, age_ms = now.since(job.since).0,
+            id = %job.call.id, server = %lease.id, copy = holder.as_ref().map_or("", |h| h.id.as_str()),
+            from = ?extra.copy, last = ?extra.last_event, age_ms = now.since(job.since).0,
             left_ms = job.left(now).0, version = job.plan.version.0, "stream placed"
         );
         let id = lease.id.clone();
@@ -163,7 +156,7 @@
         let result = tokio::select! {
             biased;
             result = first_event(&ctx, &job, &lease, &extra) => result,
-            () = gone(&ctx, &id) => Err(Outcome::Silent),
+            () = liveness::gone(&ctx, &id) => Err(Outcome::Silent),
             () = tokio::time::sleep(left) => Err(Outcome::Silent),
         };
         let (opened, splitter, event) = match result {
@@ -174,7 +167,12 @@
             }
         };
         lease.started();
+        tracing::debug!(id = %job.call.id, first = ?event.id, "first event");
         let (parts, body) = opened.response.into_parts();
+        let keeper = self.memory.copies.then(|| {
+            let held = holder.map(|h| Held::followed(h, now));
+            Keeper::start(&self.ctx, &self.job, self.memory, &lease, held)
+        });
         self.first = Some(event);
         self.run = Some(Run {
             body,
@@ -182,7 +180,7 @@
             link: opened.link,
             head: opened.head,
             lease,
-            copy: backup,
+            keeper,
         });
         Ok(parts.headers)
     }
@@ -248,13 +246,16 @@
                 Err(outcome) => Err(End::Lost(outcome)),
             },
             () = self.ctx.timer.at(until) => Err(End::Lost(Outcome::Silent)),
+            () = silent(&self.ctx, &run.lease.id, self.progress.heard()) => {
+                Err(End::Lost(Outcome::Silent))
+            }
         }
     }
 
     /// Continues the stream at another server.
     async fn resume(&mut self, mut outcome: Outcome) -> Result<(), Cut> {
         let heard = self.progress.heard();
-        let mut copy = self.leave(outcome);
+        self.leave(outcome);
         loop {
             if self.job.left(self.ctx.now()) == Millis(0) {
                 return Err(self.cut("timeout"));
@@ -262,8 +263,12 @@
             if self.next(outcome) != Next::Resend {
                 return Err(self.cut(outcome.into()));
             }
-            let source = if copy.is_some() { "copy" } else { "prompt" };
-            match self.begin(copy.take()).await {
+            let source = if self.spare.is_some() {
+                "copy"
+            } else {
+                "prompt"
+            };
+            match self.begin().await {
                 Ok(_) => {
                     let now = self.ctx.now();
                     self.resumed(source, now.since(heard));
@@ -279,17 +284,17 @@
         }
     }
 
-    /// Ends the current run; returns the lease of the copy of its memory.
-    fn leave(&mut self, outcome: Outcome) -> Option<Lease> {
-        let run = self.run.take()?;
+    /// Ends the current run; the copy of its memory remains to go on from.
+    fn leave(&mut self, outcome: Outcome) {
+        let Some(run) = self.run.take() else { return };
         let now = self.ctx.now();
-        self.ctx.servers.lost(&run.lease.id, now);
+        liveness::lost(&self.ctx, &run.lease.id);
         tracing::info!(
             id = %self.job.call.id, server = %run.lease.id, %outcome, last = ?self.progress.last(),
             silence_ms = now.since(self.progress.heard()).0, "run lost"
         );
         self.avoid.push(run.lease.id.clone());
-        run.copy
+        self.spare = run.keeper.and_then(Keeper::take);
     }
 
     fn resumed(&self, cause: &'static str, silence: Millis) {
@@ -363,24 +368,18 @@
     }
 
     /// A server in another data centre for a copy of the run's memory.
-    fn place_copy(&self, lease: &Lease) -> Option<Lease> {
-        if !self.memory.copies || !self.job.plan.route.kind.may_repeat() {
+    async fn holder(&self, lease: &Lease, is_urgent: bool) -> Option<Lease> {
+        if !self.memory.copies {
             return None;
         }
         let mut avoid = self.avoid.clone();
         avoid.push(lease.id.clone());
-        let want = Want {
-            service: self.job.plan.service.as_str(),
-            load: Load {
-                copies: self.memory.needed,
-                ..Load::default()
-            },
-            capacity: self.memory.capacity,
-            avoid: &avoid,
-            avoid_centre: Some(lease.centre.as_str()),
-        };
-        let copy = self.ctx.servers.place(self.ctx.now(), &want)?;
-        (copy.id != lease.id).then_some(copy)
+        let (ctx, job, centre) = (&self.ctx, &self.job, &lease.centre);
+        if is_urgent {
+            // The caller is waiting; the keeper checks the server once the stream goes on.
+            return copies::place(ctx, job, self.memory, centre, &avoid);
+        }
+        copies::choose(ctx, job, self.memory, centre, &avoid).await
     }
 
     fn load(&self, reads_prompt: bool) -> Load {
@@ -395,7 +394,7 @@
 
 /// Opens a stream and waits for its first event.
 async fn first_event(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     job: &Job,
     lease: &Lease,
     extra: &Extra<'_>,
@@ -436,31 +435,15 @@
     }
 }
 
-/// Waits until a server that gives no output is found to be gone.
-async fn gone(ctx: &Context, id: &BackendId) {
-    let mut heard = ctx.now();
+/// Waits until the server of a stream without events since `heard` is found to be gone.
+async fn silent(ctx: &Context, id: &BackendId, heard: Millis) {
+    let mut at = heard + ASK_AFTER;
     loop {
-        heard = heard.max(ctx.servers.last_heard(id));
-        ctx.timer.at(heard + ASK_AFTER).await;
-        if ctx.servers.last_heard(id) > heard {
-            continue;
-        }
-        let addr = ctx.servers.lock().roster.get(id).map(|m| m.entry.addr);
-        let Some(addr) = addr else { return };
-        ctx.metrics.connected("liveness");
-        let asked = Link::open(addr, ASK_LIMIT).await;
-        let now = ctx.now();
-        match asked {
-            Ok(link) => {
-                ctx.servers.heard(id, now);
-                ctx.servers.keep(id, link, now, None);
-            }
-            Err(error) => {
-                tracing::info!(server = %id, %addr, silence_ms = now.since(heard).0, %error, "server silent");
-                ctx.servers.lost(id, now);
-                return;
-            }
+        ctx.timer.at(at).await;
+        if !liveness::is_there(ctx, id, ASK_AFTER, ASK_LIMIT).await {
+            return;
         }
+        at = ctx.now() + ASK_AFTER;
     }
 }
 
@@ -476,6 +459,6 @@
         capacity: engine.memory,
         needed: prompt.memory(),
         prompt: prompt.input,
-        copies: engine.copies,
+        copies: engine.copies && job.plan.route.kind == Kind::Resumable,
     }
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -48,12 +48,16 @@
     pub revision: u64,
     /// When the removal of the row takes effect, if it was removed.
     pub expires: Option<Millis>,
+    /// Whether a server that started later has its address.
+    pub is_replaced: bool,
 }
 
 impl Member {
     /// Whether the server may take new requests.
     pub fn is_usable(&self, now: Millis) -> bool {
-        self.entry.state == State::Serving && self.expires.is_none_or(|at| now < at)
+        self.entry.state == State::Serving
+            && !self.is_replaced
+            && self.expires.is_none_or(|at| now < at)
     }
 }
 
@@ -102,6 +106,28 @@
 
     /// Takes in a row, unless a newer one is held.
     pub fn put(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
+        let addr = entry.addr;
+        let change = self.insert(id, entry, revision);
+        if change != Change::None {
+            self.replace(addr);
+        }
+        change
+    }
+
+    /// Marks the servers at `addr` that another one has replaced.
+    ///
+    /// The row of a server that crashed stays until its heartbeats have been missing for a while; the
+    /// one that starts in its place is listed before that.
+    fn replace(&mut self, addr: SocketAddr) {
+        let here = |m: &Member| m.entry.addr == addr;
+        let members = self.members.iter().filter(|(_, m)| here(m));
+        let newest = members.map(|(_, m)| m.entry.born).max().unwrap_or(0);
+        for (_, member) in self.members.iter_mut().filter(|(_, m)| here(m)) {
+            member.is_replaced = member.entry.born > 0 && member.entry.born < newest;
+        }
+    }
+
+    fn insert(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
         let Some(held) = self.members.get_mut(&id) else {
             let change = match entry.state {
                 State::Serving => Change::Added,
@@ -111,6 +137,7 @@
                 entry,
                 revision,
                 expires: None,
+                is_replaced: false,
             };
             self.members.insert(id, member);
             return change;
