gateway: servers met at the address of another serve while the registry is away

Change: a server that answers in place of another is taken in if it must be of the same service (an engine, and only one service has engines), until the registry is back. A rejected request waits (40 ms, doubling) and goes on for 60 % of its caller's patience. The retry budget is kept by service.

--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -18,9 +18,6 @@
 /// The largest answer that is held in memory, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// The pause before a request that a server rejected is sent to another one.
-const REJECTED_PAUSE: Millis = Millis(40);
-
 /// When a caller may come back whose request no server could take, in milliseconds.
 const RETRY_AFTER_MS: u64 = 300;
 
@@ -60,7 +57,7 @@
             }
         };
         let route = &job.plan.route;
-        let next = tries.next(outcome, route.kind, route.attempts, || ctx.spend());
+        let next = tries.next(outcome, route.kind, route.attempts, || ctx.spend(job));
         tracing::debug!(id = %job.call.id, server = %lease.id, %outcome, %next, "call");
         match (next, answer) {
             (Next::Deliver, Some(answer)) => return deliver(ctx, job, answer, &lease.id),
@@ -68,8 +65,8 @@
             (next, _) => return end(ctx, job, next, outcome.into()),
         }
         drop(lease);
-        if outcome == Outcome::NotRun {
-            ctx.timer.after(REJECTED_PAUSE).await;
+        if outcome == Outcome::NotRun && !job.pause(ctx, &tries).await {
+            return end(ctx, job, tries.give_up(), outcome.into());
         }
     }
 }
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -5,12 +5,14 @@
 
 use arc_swap::ArcSwapOption;
 use base::prelude::*;
+use base::sorted::Sorted;
 use relay::Budget;
 use routing::Snapshot;
 use timer::Timer;
 
 use crate::fleet::Servers;
 use crate::metrics::Metrics;
+use crate::send::Job;
 
 /// What the requests of a host share.
 #[derive(Debug)]
@@ -25,7 +27,9 @@
     pub metrics: Metrics,
     /// The grace between SIGTERM and the end.
     pub grace: Millis,
-    budget: Mutex<Budget>,
+    /// The budget of a service of which nothing was asked yet.
+    fresh: Budget,
+    budgets: Mutex<Sorted<ServiceName, Budget>>,
     /// When the process was told to stop, plus 1; 0 while it was not.
     stopping: AtomicU64,
 }
@@ -39,7 +43,8 @@
             servers: Servers::default(),
             metrics: Metrics::default(),
             grace,
-            budget: Mutex::new(budget),
+            fresh: budget,
+            budgets: Mutex::default(),
             stopping: AtomicU64::new(0),
         }
     }
@@ -49,16 +54,20 @@
         self.timer.now()
     }
 
-    /// Notes a request, which earns a part of a repeat.
-    pub fn earn(&self) {
+    /// Notes a request, which earns its service a part of a repeat.
+    pub fn earn(&self, job: &Job) {
         let now = self.now();
-        self.budget(|b| b.request(now));
+        self.budget(job, |b| b.request(now));
     }
 
-    /// Takes one repeat out of the budget, if there is one left.
-    pub fn spend(&self) -> bool {
+    /// Takes one repeat out of the budget of the request's service, if there is one left.
+    pub fn spend(&self, job: &Job) -> bool {
         let now = self.now();
-        self.budget(|b| b.spend(now))
+        let is_left = self.budget(job, |b| b.spend(now));
+        if !is_left {
+            tracing::info!(id = %job.call.id, service = %job.plan.service, "no repeat left in the budget");
+        }
+        is_left
     }
 
     /// The process was told to stop.
@@ -79,8 +88,9 @@
             && !self.servers.lock().roster.is_empty()
     }
 
-    fn budget<T>(&self, work: impl FnOnce(&mut Budget) -> T) -> T {
-        work(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
+    fn budget<T>(&self, job: &Job, work: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        work(budgets.entry(job.plan.service.clone(), || self.fresh.clone()))
     }
 }
 
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -129,6 +129,17 @@
         (!member.is_replaced).then_some(member.entry.addr)
     }
 
+    /// The service of a server.
+    pub fn service(&self, id: &BackendId) -> Option<ServiceName> {
+        let fleet = self.lock();
+        Some(fleet.roster.get(id)?.entry.service.clone())
+    }
+
+    /// Whether the registry does not answer now.
+    pub fn is_away(&self) -> bool {
+        self.lock().roster.is_away()
+    }
+
     /// Whether a server has been there without a break since `since`, as far as is known.
     pub fn is_sound(&self, id: &BackendId, since: Millis) -> bool {
         let fleet = self.lock();
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -7,6 +7,10 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Uri};
+use platform::report::{self, Report};
 
 use crate::context::Context;
 use crate::link::Link;
@@ -67,6 +71,43 @@
     }
 }
 
+/// A server answered at the address of `old`, which is gone: takes it as a new server of the service.
+///
+/// Only while the registry is away, and only if it must be of that service: it is an engine, and no
+/// other service has engines.
+pub async fn adopt(ctx: &Arc<Context>, old: &BackendId, new: &BackendId, link: &mut Link) {
+    ctx.servers.lost(old, ctx.now());
+    let Some(service) = ctx.servers.service(old).filter(|_| ctx.servers.is_away()) else {
+        return;
+    };
+    let snapshot = ctx.snapshot.load();
+    let only = snapshot.as_ref().and_then(|s| s.only_engine());
+    if only.is_none_or(|s| s.name != service) {
+        return;
+    }
+    let work = report(link);
+    let Ok(Some(report)) = tokio::time::timeout(ASK_LIMIT.duration(), work).await else {
+        return;
+    };
+    let change: &'static str = ctx
+        .servers
+        .lock()
+        .roster
+        .adopt(old, new, report.born)
+        .into();
+    tracing::info!(server = %new, before = %old, born = report.born, change, "server met without a row");
+}
+
+/// Asks a server for its report; `None` if it is no engine.
+async fn report(link: &mut Link) -> Option<Report> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(report::PATH);
+    let response = link.send(request).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    report::decode(status, &body)
+}
+
 /// Waits until a server that gives no output is found to be gone.
 pub async fn gone(ctx: &Context, id: &BackendId) {
     let mut heard = ctx.now();
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -5,13 +5,13 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, Uri};
 use platform::answer::{self, Head};
 use platform::request::{self, Copy, Send};
-use relay::Outcome;
+use relay::{Outcome, Tries};
 use routing::{Call, Plan};
 
 use crate::context::{Context, InFlight};
@@ -73,6 +73,18 @@
         self.until.since(now)
     }
 
+    /// Waits before the request is sent again after a rejection; returns whether there is time.
+    pub async fn pause(&self, ctx: &Context, tries: &Tries) -> bool {
+        let age = ctx.now().since(self.since);
+        match tries.pause(age, self.until.since(self.since)) {
+            Some(pause) => {
+                ctx.timer.after(pause).await;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// The request for one server.
     fn request(&self, now: Millis, lease: &Lease, extra: &Extra<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -141,9 +153,12 @@
     if head.is_foreign || head.is_encoded {
         return Err(Outcome::Broken);
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        // Another server has the address now; the row will follow.
-        liveness::lost(ctx, &lease.id);
+    if let Some(new) = &head.instead {
+        // The rest of this answer must be read before the connection carries another request.
+        if body.collect().await.is_ok() {
+            liveness::adopt(ctx, &lease.id, new, &mut link).await;
+        }
+        return Err(Outcome::Moved);
     }
     if head.is_unrun {
         return Err(Outcome::NotRun);
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -105,7 +105,7 @@
                         body: whole.to_bytes(),
                         guard,
                     };
-                    ctx.earn();
+                    ctx.earn(&job);
                     run(&ctx, job).await
                 }
             }
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -24,9 +24,6 @@
 use crate::reply::{self, Body, Cut};
 use crate::send::{self, Extra, Job, Opened};
 
-/// The pause before a stream that a server rejected is sent to another one.
-const REJECTED_PAUSE: Millis = Millis(60);
-
 /// When a caller may come back whose stream no server could take, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -89,8 +86,8 @@
             Next::Resend => {}
             next => return flow.end(next, outcome.into()),
         }
-        if outcome == Outcome::NotRun {
-            flow.ctx.timer.after(REJECTED_PAUSE).await;
+        if outcome == Outcome::NotRun && !flow.job.pause(&flow.ctx, &flow.tries).await {
+            return flow.end(flow.tries.give_up(), outcome.into());
         }
     }
 }
@@ -119,9 +116,9 @@
     /// What is to be done after a send that failed.
     fn next(&mut self, outcome: Outcome) -> Next {
         let route = &self.job.plan.route;
-        let ctx = &self.ctx;
+        let (ctx, job) = (&self.ctx, &self.job);
         self.tries
-            .next(outcome, route.kind, route.attempts, || ctx.spend())
+            .next(outcome, route.kind, route.attempts, || ctx.spend(job))
     }
 
     /// Starts a run at some server and waits for its first event.
@@ -278,8 +275,11 @@
                 Err(Some(failed)) => outcome = failed,
                 Err(None) => return Err(self.cut("no_server")),
             }
-            if outcome == Outcome::NotRun && source == "prompt" {
-                self.ctx.timer.after(REJECTED_PAUSE).await;
+            if outcome == Outcome::NotRun
+                && source == "prompt"
+                && !self.job.pause(&self.ctx, &self.tries).await
+            {
+                return Err(self.cut(outcome.into()));
             }
         }
     }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -50,6 +50,8 @@
     pub expires: Option<Millis>,
     /// Whether a server that started later has its address.
     pub is_replaced: bool,
+    /// Whether the server has no row yet and was met at the address of another one.
+    pub is_adopted: bool,
 }
 
 impl Member {
@@ -100,6 +102,10 @@
         let was_away = std::mem::replace(&mut self.is_away, false);
         if was_away {
             self.returned = Some(now);
+            let adopted = self.members.iter_mut().filter(|(_, m)| m.is_adopted);
+            for (_, member) in adopted {
+                member.expires = Some(now + RETURN_GRACE);
+            }
         }
         was_away
     }
@@ -138,6 +144,7 @@
                 revision,
                 expires: None,
                 is_replaced: false,
+                is_adopted: false,
             };
             self.members.insert(id, member);
             return change;
@@ -155,9 +162,43 @@
         held.entry = entry;
         held.revision = revision;
         held.expires = None;
+        held.is_adopted = false;
         change
     }
 
+    /// Takes in a server without a row that was met at the address of `old`, while the registry is
+    /// away. It must be known to be of the same service.
+    ///
+    /// Its row is expected once the registry is back; without one it is dropped then.
+    pub fn adopt(&mut self, old: &BackendId, id: &BackendId, born: u64) -> Change {
+        let Some(held) = self.members.get_mut(old) else {
+            return Change::None;
+        };
+        held.is_replaced = true;
+        let entry = Entry {
+            born,
+            state: State::Serving,
+            ..held.entry.clone()
+        };
+        if !self.is_away || self.members.get(id).is_some() {
+            return Change::None;
+        }
+        let member = Member {
+            entry,
+            revision: 0,
+            expires: None,
+            is_replaced: false,
+            is_adopted: true,
+        };
+        self.members.insert(id.clone(), member);
+        Change::Added
+    }
+
+    /// Whether the registry does not answer now.
+    pub fn is_away(&self) -> bool {
+        self.is_away
+    }
+
     /// Takes in the removal of a row, unless a newer row is held.
     pub fn remove(&mut self, id: &BackendId, revision: u64, now: Millis) -> Change {
         let grace = self.grace_ends(now);
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -1,5 +1,6 @@
 //! What is to be done after a send.
 
+use base::prelude::*;
 use routing::Kind;
 use strum::{Display, IntoStaticStr};
 
@@ -13,6 +14,8 @@
     Failed,
     /// The server says that it did not run the request.
     NotRun,
+    /// Another server has the address and did not run the request.
+    Moved,
     /// No byte of the request was written.
     Unsent,
     /// The connection broke or the answer makes no sense; the request may have run.
@@ -46,11 +49,17 @@
     pub unsent: u32,
 }
 
-/// The most sends of one request that servers may reject; more would only add to their load.
-const MAX_REJECTED: u32 = 3;
+/// The most sends of one request that reach no server of the service.
+const MAX_UNSENT: u32 = 12;
 
-/// The most sends of one request that fail before a byte is written.
-const MAX_UNSENT: u32 = 8;
+/// The wait after the first rejection.
+const FIRST_PAUSE: Millis = Millis(40);
+
+/// How often that wait doubles at most.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// The part of a caller's patience, in percent, after which a rejected request is not sent again.
+const WAIT_PERCENT: u64 = 60;
 
 impl Tries {
     /// What is to be done after `outcome`, for a request of a route that allows `attempts` servers.
@@ -69,9 +78,13 @@
                 self.unsent += 1;
                 self.again(self.unsent <= MAX_UNSENT)
             }
+            Outcome::Moved => {
+                self.unsent += 1;
+                self.again(self.unsent <= MAX_UNSENT && spend())
+            }
             Outcome::NotRun => {
                 self.rejected += 1;
-                self.again(self.rejected <= MAX_REJECTED && spend())
+                self.again(spend())
             }
             Outcome::Failed | Outcome::Broken | Outcome::Silent => {
                 self.ran += 1;
@@ -85,6 +98,18 @@
         }
     }
 
+    /// How long to wait before a request that a server rejected is sent to another one, `age` after it
+    /// came; `None` if `patience` leaves no time for another try.
+    ///
+    /// Answers overload: the wait doubles with each rejection, so that full servers are not asked by
+    /// all waiting requests at once, while a request that still has time is not given up.
+    pub fn pause(&self, age: Millis, patience: Millis) -> Option<Millis> {
+        let doublings = self.rejected.saturating_sub(1).min(MAX_DOUBLINGS);
+        let pause = Millis(FIRST_PAUSE.0 << doublings);
+        let last = Millis(patience.0 * WAIT_PERCENT / 100);
+        (age + pause < last).then_some(pause)
+    }
+
     /// How a request ends that is sent no more.
     pub fn give_up(&self) -> Next {
         if self.ran == 0 {
--- a/crates/routing/src/snapshot.rs
+++ b/crates/routing/src/snapshot.rs
@@ -185,6 +185,13 @@
         Some(&self.services[i])
     }
 
+    /// The service that has engines, if there is exactly one.
+    pub fn only_engine(&self) -> Option<&Service> {
+        let mut engines = self.services.iter().filter(|s| s.engine.is_some());
+        let first = engines.next()?;
+        engines.next().is_none().then_some(first)
+    }
+
     /// Whether callers need keys at all.
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
