sync: changes of the store gather before the next call

Change: after an answer with changes a host waits 0.9 s before it asks again, and holds quiet calls open for 2.2 s.

--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -17,10 +17,15 @@
 use crate::link::{Link, SendError};
 
 /// How long the store holds a call open until something changes.
-const WAIT: Millis = Millis(1_500);
+const WAIT: Millis = Millis(2_200);
 
-/// The longest wait for an answer beyond the time for which the call is held open.
-const LIMIT: Millis = Millis(700);
+/// The longest wait for an answer beyond the time for which the call is held open; the two together
+/// stay under 3 s, the time that a host has to recover from a connection that fell silent.
+const LIMIT: Millis = Millis(600);
+
+/// The pause after an answer with changes, during which further ones gather into one call; leaves
+/// half of the 2 s within which a leaving server must get no more requests.
+const GATHER: Millis = Millis(900);
 
 /// The wait for a connection to the store.
 const CONNECT: Millis = Millis(500);
@@ -103,6 +108,9 @@
                 self.reached();
                 self.changes(&rows);
                 self.revision = Some(rows.revision.max(revision));
+                if !rows.rows.is_empty() {
+                    self.ctx.timer.after(GATHER).await;
+                }
                 Ok(())
             }
         }
