--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -48,26 +48,62 @@
     pub spread: u64,
 }
 
+/// What a server has just said of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Requests that wait or whose prompts are being read.
+    pub waiting: u64,
+    /// Requests that give output.
+    pub running: u64,
+    /// Tokens of memory in use.
+    pub used: u64,
+}
+
+/// The indices of at most `count` servers to use, the best first.
+pub fn shortlist(candidates: &[Candidate<'_>], wish: &Wish<'_>, count: usize) -> Vec<usize> {
+    let mut found: Vec<usize> = (0..candidates.len())
+        .filter(|i| !candidates[*i].is_ejected)
+        .collect();
+    found.sort_by_cached_key(|i| order(candidates, wish, *i));
+    found.truncate(count);
+    found
+}
+
+/// The index of the best of servers that were asked; those that did not answer come last.
+///
+/// Answers a fleet of many hosts, each of which sees little of a server's load: a few servers drawn
+/// at random are asked, and the prompt goes where the fewest prompts wait.
+pub fn best(told: &[Option<Told>], needed: u64, capacity: u64) -> Option<usize> {
+    let order = |i: &usize| match told[*i] {
+        Some(t) => {
+            let is_full = capacity > 0 && t.used + needed > capacity;
+            (false, is_full, t.waiting, t.running, t.used, *i)
+        }
+        None => (true, false, 0, 0, 0, *i),
+    };
+    (0..told.len()).min_by_key(order)
+}
+
 /// The index of the server to use, if there is any that is not left out.
 pub fn place(candidates: &[Candidate<'_>], wish: &Wish<'_>) -> Option<usize> {
-    let order = |i: &usize| {
-        let c = &candidates[*i];
-        let is_avoided = wish.avoid.contains(&c.server);
-        let is_near = wish.avoid_centre == Some(c.centre);
-        let used = c.load.memory + c.load.copies;
-        let is_full = c.capacity > 0 && used + wish.memory > c.capacity;
-        let turn = stable(&(wish.spread ^ (*i as u64).rotate_left(32)).to_le_bytes());
-        (
-            is_avoided,
-            is_near,
-            is_full,
-            c.load.prefill,
-            used,
-            c.load.running,
-            turn,
-        )
-    };
     (0..candidates.len())
         .filter(|i| !candidates[*i].is_ejected)
-        .min_by_key(order)
+        .min_by_key(|i| order(candidates, wish, *i))
+}
+
+/// What makes one server better than another; the least is the best.
+type Order = (bool, bool, bool, u64, u64, u64, u64);
+
+fn order(candidates: &[Candidate<'_>], wish: &Wish<'_>, i: usize) -> Order {
+    let c = &candidates[i];
+    let used = c.load.memory + c.load.copies;
+    (
+        wish.avoid.contains(&c.server),
+        wish.avoid_centre == Some(c.centre),
+        c.capacity > 0 && used + wish.memory > c.capacity,
+        c.load.prefill,
+        used,
+        c.load.running,
+        stable(&(wish.spread ^ (i as u64).rotate_left(32)).to_le_bytes()),
+    )
 }
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use balance::Health;
-use balance::place::{Candidate, Load, Wish, place};
+use balance::place::{Candidate, Load, Wish, place, shortlist};
 use base::prelude::*;
 use base::sorted::Sorted;
 use membership::Roster;
@@ -90,6 +90,17 @@
         fleet.lease(self, id, want.load)
     }
 
+    /// At most `count` servers for a request, the best first by what this host knows; none is taken.
+    pub fn shortlist(&self, now: Millis, want: &Want<'_>, count: usize) -> Vec<BackendId> {
+        self.lock().shortlist(now, want, count)
+    }
+
+    /// Tokens of prompts that this host has sent to a server and that have given no output yet.
+    pub fn prefill(&self, id: &BackendId) -> u64 {
+        let fleet = self.lock();
+        fleet.servers.get(id).map_or(0, |s| s.load.prefill)
+    }
+
     /// Takes the server of that id, if it may be used.
     pub fn take(&self, now: Millis, id: &BackendId, load: Load) -> Option<Lease> {
         let mut fleet = self.lock();
@@ -209,6 +220,25 @@
 
 impl Fleet {
     fn choose(&self, now: Millis, want: &Want<'_>) -> Option<BackendId> {
+        self.candidates(now, want, |candidates, wish| {
+            place(candidates, wish).into_iter().collect()
+        })
+        .pop()
+    }
+
+    fn shortlist(&self, now: Millis, want: &Want<'_>, count: usize) -> Vec<BackendId> {
+        self.candidates(now, want, |candidates, wish| {
+            shortlist(candidates, wish, count)
+        })
+    }
+
+    /// The servers that `pick` chooses among those that may be used.
+    fn candidates(
+        &self,
+        now: Millis,
+        want: &Want<'_>,
+        pick: impl Fn(&[Candidate<'_>], &Wish<'_>) -> Vec<usize>,
+    ) -> Vec<BackendId> {
         let members: Vec<(&BackendId, &Entry)> = self
             .roster
             .iter()
@@ -226,8 +256,8 @@
             avoid_centre: want.avoid_centre,
             spread: rand::random(),
         };
-        let i = place(&candidates, &wish)?;
-        Some(members[i].0.clone())
+        let chosen = pick(&candidates, &wish);
+        chosen.into_iter().map(|i| members[i].0.clone()).collect()
     }
 
     fn candidate<'a>(
--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod liveness;
 pub mod metrics;
+pub mod probe;
 pub mod reply;
 pub mod run;
 pub mod send;
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -7,13 +7,10 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, Uri};
-use platform::report::{self, Report};
 
 use crate::context::Context;
 use crate::link::Link;
+use crate::probe;
 
 /// A server that runs a prompt and was not heard for this time is asked whether it is there.
 const ASK_AFTER: Millis = Millis(600);
@@ -51,6 +48,16 @@
     }
 }
 
+/// Has a server that did not answer in time asked whether it is there; the caller goes on.
+pub fn check(ctx: &Arc<Context>, id: &BackendId) {
+    let (ctx, id) = (Arc::clone(ctx), id.clone());
+    tokio::spawn(async move {
+        if !is_there(&ctx, &id, HEARD, ASK_LIMIT).await {
+            lost(&ctx, &id);
+        }
+    });
+}
+
 /// Asks a server whether it is there; returns the answer.
 async fn ask(ctx: &Context, id: &BackendId, addr: SocketAddr, limit: Millis) -> bool {
     ctx.metrics.connected("liveness");
@@ -85,7 +92,7 @@
     if only.is_none_or(|s| s.name != service) {
         return;
     }
-    let work = report(link);
+    let work = probe::report(link);
     let Ok(Some(report)) = tokio::time::timeout(ASK_LIMIT.duration(), work).await else {
         return;
     };
@@ -98,16 +105,6 @@
     tracing::info!(server = %new, before = %old, born = report.born, change, "server met without a row");
 }
 
-/// Asks a server for its report; `None` if it is no engine.
-async fn report(link: &mut Link) -> Option<Report> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(report::PATH);
-    let response = link.send(request).await.ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    report::decode(status, &body)
-}
-
 /// Waits until a server that gives no output is found to be gone.
 pub async fn gone(ctx: &Context, id: &BackendId) {
     let mut heard = ctx.now();
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -21,6 +21,7 @@
 use crate::link::Link;
 use crate::liveness;
 use crate::metrics::Cause;
+use crate::probe;
 use crate::reply::{self, Body, Cut};
 use crate::send::{self, Extra, Job, Opened};
 
@@ -134,7 +135,7 @@
                 .servers
                 .take(now, &held.holder.id, self.load(false))
                 .ok_or(Some(Outcome::Unsent))?,
-            None => self.place().ok_or(None)?,
+            None => self.place().await.ok_or(None)?,
         };
         let holder = self.holder(&lease, self.progress.passed() > 0).await;
         let extra = Extra {
@@ -356,7 +357,7 @@
         response
     }
 
-    fn place(&self) -> Option<Lease> {
+    async fn place(&self) -> Option<Lease> {
         let want = Want {
             service: self.job.plan.service.as_str(),
             load: self.load(true),
@@ -364,7 +365,10 @@
             avoid: &self.avoid,
             avoid_centre: None,
         };
-        self.ctx.servers.place(self.ctx.now(), &want)
+        if self.memory.capacity == 0 {
+            return self.ctx.servers.place(self.ctx.now(), &want);
+        }
+        probe::place(&self.ctx, &want).await
     }
 
     /// A server in another data centre for a copy of the run's memory.
