gateway: hosts share the retry budget and what they know of lost servers

The fixed part was divided by 16, which 60 hosts overspend. Change: hosts list themselves in a table of the store and send each other a digest by UDP, twice a second and at once after a repeat or a loss; each spends a share of what the sum leaves. A host that hears of nobody has its own part only. A server that another host found gone is taken last. The store's client is a module of its own.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -29,6 +29,8 @@
     pub centre: &'a str,
     /// Whether it is left out for its failures.
     pub is_ejected: bool,
+    /// Whether another host has found it to be gone, which this host has not seen itself.
+    pub is_doubtful: bool,
     /// Its load.
     pub load: Load,
     /// The tokens that its memory holds; 0 for a plain service.
@@ -92,13 +94,14 @@
 }
 
 /// What makes one server better than another; the least is the best.
-type Order = (bool, bool, bool, u64, u64, u64, u64);
+type Order = (bool, bool, bool, bool, u64, u64, u64, u64);
 
 fn order(candidates: &[Candidate<'_>], wish: &Wish<'_>, i: usize) -> Order {
     let c = &candidates[i];
     let used = c.load.memory + c.load.copies;
     (
         wish.avoid.contains(&c.server),
+        c.is_doubtful,
         wish.avoid_centre == Some(c.centre),
         c.capacity > 0 && used + wish.memory > c.capacity,
         c.load.prefill,
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -1,14 +1,16 @@
 //! What the requests of a host share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use base::prelude::*;
 use base::sorted::Sorted;
+use membership::gossip::Gossip;
 use relay::Budget;
 use routing::Snapshot;
 use timer::Timer;
+use tokio::sync::Notify;
 
 use crate::fleet::Servers;
 use crate::metrics::Metrics;
@@ -25,6 +27,10 @@
     pub servers: Servers,
     /// The metrics.
     pub metrics: Metrics,
+    /// What the other hosts tell.
+    gossip: Mutex<Gossip>,
+    /// Wakes the sender of digests when there is something to tell at once.
+    pub news: Notify,
     /// The grace between SIGTERM and the end.
     pub grace: Millis,
     /// The budget of a service of which nothing was asked yet.
@@ -36,12 +42,14 @@
 
 impl Context {
     /// The context of a process that has just started.
-    pub fn new(timer: Timer, grace: Millis, budget: Budget) -> Self {
+    pub fn new(timer: Timer, grace: Millis, budget: Budget, gossip: Gossip) -> Self {
         Self {
             timer,
             snapshot: ArcSwapOption::empty(),
             servers: Servers::default(),
             metrics: Metrics::default(),
+            gossip: Mutex::new(gossip),
+            news: Notify::new(),
             grace,
             fresh: budget,
             budgets: Mutex::default(),
@@ -64,12 +72,24 @@
     pub fn spend(&self, job: &Job) -> bool {
         let now = self.now();
         let is_left = self.budget(job, |b| b.spend(now));
-        if !is_left {
+        if is_left {
+            self.news.notify_one();
+        } else {
             tracing::info!(id = %job.call.id, service = %job.plan.service, "no repeat left in the budget");
         }
         is_left
     }
 
+    /// The retry budgets of all services.
+    pub fn budgets(&self) -> MutexGuard<'_, Sorted<ServiceName, Budget>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the other hosts tell.
+    pub fn gossip(&self) -> MutexGuard<'_, Gossip> {
+        self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The process was told to stop.
     pub fn stop(&self) {
         self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
@@ -89,7 +109,7 @@
     }
 
     fn budget<T>(&self, job: &Job, work: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budgets = self.budgets();
         work(budgets.entry(job.plan.service.clone(), || self.fresh.clone()))
     }
 }
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use balance::Health;
 use balance::place::{Candidate, Load, Wish, place, shortlist};
+use base::hash::stable;
 use base::prelude::*;
 use base::sorted::Sorted;
 use membership::Roster;
@@ -21,6 +22,9 @@
 /// An idle connection is given up so long before the server closes it.
 const IDLE_MARGIN: Millis = Millis(700);
 
+/// How long another host's word that a server is gone counts.
+const DOUBT: Millis = Millis(1_000);
+
 /// What this host knows of one server besides its row.
 #[derive(Debug, Default)]
 struct Server {
@@ -32,6 +36,8 @@
     asked: Millis,
     /// When it was last found to be gone.
     lost: Option<Millis>,
+    /// Until when another host's word that it is gone counts.
+    doubted: Millis,
     /// Connections without a request, and until when they may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -114,6 +120,7 @@
     pub fn heard(&self, id: &BackendId, now: Millis) {
         if let Some(server) = self.lock().servers.get_mut(id) {
             server.heard = now;
+            server.doubted = Millis(0);
             server.health.answered();
         }
     }
@@ -190,6 +197,18 @@
         found
     }
 
+    /// Another host found a server to be gone at `at`; counts unless it was heard since.
+    pub fn doubt(&self, server: u32, at: Millis, now: Millis) {
+        let mut guard = self.lock();
+        let fleet = &mut *guard;
+        let named = fleet.roster.iter().find(|(id, _)| short_hash(id) == server);
+        let Some((id, _)) = named else { return };
+        let held = fleet.servers.entry(id.clone(), Server::default);
+        if held.heard < at {
+            held.doubted = now + DOUBT;
+        }
+    }
+
     /// An idle connection to a server, if there is a usable one.
     pub fn idle(&self, id: &BackendId, now: Millis) -> Option<Link> {
         let mut fleet = self.lock();
@@ -272,6 +291,7 @@
             server: id.as_str(),
             centre: entry.centre.as_str(),
             is_ejected: server.is_some_and(|s| s.health.is_ejected(now)),
+            is_doubtful: server.is_some_and(|s| now < s.doubted),
             load: server.map_or(Load::default(), |s| s.load),
             capacity,
         }
@@ -327,6 +347,11 @@
     }
 }
 
+/// The short name of a server between hosts; two that share one are both doubted.
+pub fn short_hash(id: &BackendId) -> u32 {
+    stable(id.as_str().as_bytes()) as u32
+}
+
 fn plus(a: Load, b: Load) -> Load {
     Load {
         prefill: a.prefill + b.prefill,
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 
 use crate::context::Context;
+use crate::fleet::short_hash;
 use crate::link::Link;
 use crate::probe;
 
@@ -27,7 +28,7 @@
 /// A server is not reachable or fell silent: leaves it out, and asks those beside it.
 pub fn lost(ctx: &Arc<Context>, id: &BackendId) {
     let now = ctx.now();
-    ctx.servers.lost(id, now);
+    found_gone(ctx, id, now);
     for (id, addr) in ctx.servers.beside(id, now, HEARD, MAX_ASKED) {
         let ctx = Arc::clone(ctx);
         tokio::spawn(async move {
@@ -36,6 +37,13 @@
     }
 }
 
+/// Leaves a server out and tells the other hosts.
+fn found_gone(ctx: &Context, id: &BackendId, now: Millis) {
+    ctx.servers.lost(id, now);
+    ctx.gossip().lost(now, short_hash(id));
+    ctx.news.notify_one();
+}
+
 /// Whether a server is there: it was heard within `recent`, or accepts a connection within `limit`.
 pub async fn is_there(ctx: &Context, id: &BackendId, recent: Millis, limit: Millis) -> bool {
     let now = ctx.now();
@@ -72,7 +80,7 @@
         Err(error) => {
             let silence = now.since(ctx.servers.last_heard(id));
             tracing::info!(server = %id, %addr, silence_ms = silence.0, %error, "server gone");
-            ctx.servers.lost(id, now);
+            found_gone(ctx, id, now);
             false
         }
     }
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -10,21 +10,24 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
+use membership::gossip::Gossip;
 use platform::store::Table;
 use relay::Budget;
 use settings::gateway::Gateway as Settings;
 use telemetry::lines::Lines;
 use thiserror::Error;
 use timer::Timer;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::context::Context;
 use crate::reply::{self, Body};
-use crate::{serve, sync};
+use crate::store::Store;
+use crate::{gossip, hosts, serve, sync};
 
-/// Hosts among which the fixed part of the retry budget is divided; the deployments have 8 and more.
+/// The hosts among which the fixed part of the retry budget is divided until the others are known; the
+/// smallest deployment has 8.
 const BUDGET_HOSTS: u64 = 16;
 
 /// A stopping host stays at least so long, so that the balancer notices that it is not ready.
@@ -65,12 +68,24 @@
     let budget = Budget::new(
         millis(retries.window_s),
         (retries.ratio * 1_000.0) as u64,
-        retries.extra as u64 / BUDGET_HOSTS,
+        retries.extra as u64,
+        BUDGET_HOSTS,
     );
-    let ctx = Arc::new(Context::new(timer, millis(settings.grace_s), budget));
+    let gossip = Gossip::new(settings.host.clone(), Incarnation(rand::random()));
+    let ctx = Arc::new(Context::new(
+        timer,
+        millis(settings.grace_s),
+        budget,
+        gossip,
+    ));
     let callers = listen(settings.listen.callers).await?;
     let ready = listen(settings.listen.ready).await?;
     let metrics = listen(settings.listen.metrics).await?;
+    let peers = settings.listen.peers;
+    let socket = UdpSocket::bind(peers)
+        .await
+        .map_err(|cause| RunError::Listen { addr: peers, cause })?;
+    let socket = Arc::new(socket);
     let mut term = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     tracing::info!(
@@ -79,8 +94,15 @@
     );
     let (addr, addrs) = watch::channel(settings.store);
     for table in [Table::Operator, Table::Servers] {
-        tokio::spawn(sync::follow(Arc::clone(&ctx), table, addrs.clone()));
+        let store = Store::new(Arc::clone(&ctx), addrs.clone());
+        tokio::spawn(sync::follow(Arc::clone(&ctx), table, store));
     }
+    let host = settings.host.clone();
+    let mut store = Store::new(Arc::clone(&ctx), addrs.clone());
+    let own = Store::new(Arc::clone(&ctx), addrs);
+    tokio::spawn(hosts::register(Arc::clone(&ctx), own, host.clone(), peers));
+    tokio::spawn(gossip::tell(Arc::clone(&ctx), Arc::clone(&socket)));
+    tokio::spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
     tokio::spawn(serve::accept(Arc::clone(&ctx), callers));
     tokio::spawn(answer(Arc::clone(&ctx), ready, readiness));
     let counter = lines.counter();
@@ -94,6 +116,10 @@
     tokio::spawn(reload(hangup, file.to_owned(), settings, addr));
     term.recv().await;
     stop(&ctx).await;
+    gossip::send(&ctx, &socket, true).await;
+    if let Err(error) = hosts::leave(&mut store, &host).await {
+        tracing::info!(%error, "the row of this host was not removed");
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/gooseberry-gateway/src/store.rs
@@ -0,0 +1,156 @@
+//! The client of the platform's store: one connection, kept between calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use platform::store::{self, Rows, StoreError, Table};
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::link::{Link, SendError};
+
+/// The wait for a connection to the store.
+const CONNECT: Millis = Millis(500);
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection can be had.
+    #[error("the store is not reachable: {0}")]
+    Connect(std::io::Error),
+    /// The connection broke; a write may have been done.
+    #[error("the connection to the store broke")]
+    Broken,
+    /// No answer came in time; a write may have been done, or may be done yet.
+    #[error("the store did not answer in time")]
+    Silent,
+    /// The store answered, but not with what was asked for.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
+impl CallError {
+    /// The name of the error in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Connect(_) => "unreachable",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Store(StoreError::Compacted) => "compacted",
+            Self::Store(StoreError::Refused(_)) => "refused",
+            Self::Store(StoreError::Malformed(_)) => "malformed",
+        }
+    }
+}
+
+/// A client of the store.
+pub struct Store {
+    ctx: Arc<Context>,
+    addr: watch::Receiver<SocketAddr>,
+    link: Option<Link>,
+}
+
+impl Store {
+    /// A client of the store at an address that may change.
+    pub fn new(ctx: Arc<Context>, addr: watch::Receiver<SocketAddr>) -> Self {
+        Self {
+            ctx,
+            addr,
+            link: None,
+        }
+    }
+
+    /// Reads or waits at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn rows(&mut self, path: &str, limit: Millis) -> Result<Rows, CallError> {
+        let (status, body) = self.call(Method::GET, path, Bytes::new(), limit).await?;
+        let rows = store::decode(status, &body).map_err(CallError::from);
+        self.count(&rows);
+        rows
+    }
+
+    /// Writes a row, or removes it.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`]; the row may have been written unless it is [`CallError::Store`].
+    pub async fn write(
+        &mut self,
+        table: Table,
+        key: &str,
+        value: Option<&[u8]>,
+        limit: Millis,
+    ) -> Result<(), CallError> {
+        let body = Bytes::from(store::write_body(table, key, value));
+        let (status, _) = self
+            .call(Method::POST, store::WRITE_PATH, body, limit)
+            .await?;
+        let written = store::decode_write(status).map_err(CallError::from);
+        self.count(&written);
+        written
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let work = self.exchange(method, path, body);
+        let result = match tokio::time::timeout(limit.duration(), work).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Silent),
+        };
+        if result.is_err() {
+            self.link = None;
+            self.count(&result);
+        }
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let addr = *self.addr.borrow_and_update();
+        let mut link = match self.link.take().filter(|l| !l.is_closed()) {
+            Some(link) => link,
+            None => Link::open(addr, CONNECT)
+                .await
+                .map_err(CallError::Connect)?,
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().map_err(|_| CallError::Broken)?;
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = addr.to_string().parse() {
+            headers.insert(HOST, host);
+        }
+        let response = link.send(request).await.map_err(|e| match e {
+            SendError::Unsent | SendError::Broken(_) => CallError::Broken,
+        })?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|_| CallError::Broken)?.to_bytes();
+        self.link = Some(link);
+        Ok((status, body))
+    }
+
+    fn count<T>(&self, result: &Result<T, CallError>) {
+        let name = result.as_ref().err().map_or("answered", CallError::name);
+        self.ctx.metrics.store_call(name);
+    }
+}
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -1,20 +1,14 @@
 //! Keeps the configuration and the backend servers in step with the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
 use membership::roster::Change;
 use platform::store::{self, CONFIG_KEY, Row, Rows, StoreError, Table};
 use platform::{config, servers};
-use thiserror::Error;
-use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::link::{Link, SendError};
+use crate::store::{CallError, Store};
 
 /// How long the store holds a call open until something changes.
 const WAIT: Millis = Millis(2_200);
@@ -27,56 +21,25 @@
 /// half of the 2 s within which a leaving server must get no more requests.
 const GATHER: Millis = Millis(900);
 
-/// The wait for a connection to the store.
-const CONNECT: Millis = Millis(500);
-
 /// The pause after a call that failed; it doubles up to the second value.
 const PAUSE: (Millis, Millis) = (Millis(100), Millis(800));
 
-/// Why a call to the store gave no rows.
-#[derive(Debug, Error)]
-enum SyncError {
-    #[error("the store is not reachable: {0}")]
-    Connect(std::io::Error),
-    #[error("the connection to the store broke")]
-    Broken,
-    #[error("the store did not answer in time")]
-    Silent,
-    #[error(transparent)]
-    Store(#[from] StoreError),
-}
-
-impl SyncError {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Connect(_) => "unreachable",
-            Self::Broken => "broken",
-            Self::Silent => "silent",
-            Self::Store(StoreError::Compacted) => "compacted",
-            Self::Store(StoreError::Refused(_)) => "refused",
-            Self::Store(StoreError::Malformed(_)) => "malformed",
-        }
-    }
-}
-
 /// The watch of one table.
 struct Watch {
     ctx: Arc<Context>,
     table: Table,
-    addr: watch::Receiver<SocketAddr>,
-    link: Option<Link>,
+    store: Store,
     /// The revision up to which the table is known; `None` before it was read whole.
     revision: Option<u64>,
     is_lost: bool,
 }
 
 /// Follows a table for ever.
-pub async fn follow(ctx: Arc<Context>, table: Table, addr: watch::Receiver<SocketAddr>) {
+pub async fn follow(ctx: Arc<Context>, table: Table, store: Store) {
     let mut watch = Watch {
         ctx,
         table,
-        addr,
-        link: None,
+        store,
         revision: None,
         is_lost: false,
     };
@@ -84,7 +47,7 @@
     loop {
         match watch.step().await {
             Ok(()) => pause = PAUSE.0,
-            Err(SyncError::Store(StoreError::Compacted)) => {
+            Err(CallError::Store(StoreError::Compacted)) => {
                 watch.changed("compacted");
                 watch.revision = None;
             }
@@ -99,12 +62,12 @@
 
 impl Watch {
     /// Reads the table whole, or waits for its next changes.
-    async fn step(&mut self) -> Result<(), SyncError> {
+    async fn step(&mut self) -> Result<(), CallError> {
         match self.revision {
             None => self.read().await,
             Some(revision) => {
                 let path = store::watch_path(self.table, revision, WAIT);
-                let rows = self.call(&path, WAIT + LIMIT).await?;
+                let rows = self.store.rows(&path, WAIT + LIMIT).await?;
                 self.reached();
                 self.changes(&rows);
                 self.revision = Some(rows.revision.max(revision));
@@ -116,13 +79,13 @@
         }
     }
 
-    async fn read(&mut self) -> Result<(), SyncError> {
+    async fn read(&mut self) -> Result<(), CallError> {
         let mut all: Vec<Row> = Vec::new();
         let mut first = None;
         loop {
             let after = all.last().map(|r| r.key.clone());
             let path = store::read_path(self.table, after.as_deref());
-            let rows = self.call(&path, LIMIT).await?;
+            let rows = self.store.rows(&path, LIMIT).await?;
             // Changes made while the pages are read are told by the watch that follows.
             let revision = *first.get_or_insert(rows.revision);
             let is_last = !rows.is_partial || rows.rows.is_empty();
@@ -174,6 +137,8 @@
             Table::Operator if row.key == CONFIG_KEY => self.config(row),
             Table::Operator => {}
             Table::Servers => self.server(row, now),
+            // The hosts are read by `hosts`, which needs no watch.
+            Table::Hosts => {}
         }
     }
 
@@ -244,48 +209,7 @@
         self.ctx.metrics.servers.set(listed as i64);
     }
 
-    /// Calls the store over the connection that is kept.
-    async fn call(&mut self, path: &str, limit: Millis) -> Result<Rows, SyncError> {
-        let result = match tokio::time::timeout(limit.duration(), self.exchange(path)).await {
-            Ok(result) => result,
-            Err(_) => Err(SyncError::Silent),
-        };
-        match &result {
-            Ok(_) => self.ctx.metrics.store_call("answered"),
-            Err(error) => {
-                self.ctx.metrics.store_call(error.name());
-                if !matches!(error, SyncError::Store(_)) {
-                    self.link = None;
-                }
-            }
-        }
-        result
-    }
-
-    async fn exchange(&mut self, path: &str) -> Result<Rows, SyncError> {
-        let addr = *self.addr.borrow_and_update();
-        let mut link = match self.link.take().filter(|l| !l.is_closed()) {
-            Some(link) => link,
-            None => Link::open(addr, CONNECT)
-                .await
-                .map_err(SyncError::Connect)?,
-        };
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = path.parse().map_err(|_| SyncError::Broken)?;
-        if let Ok(host) = addr.to_string().parse() {
-            request.headers_mut().insert(hyper::header::HOST, host);
-        }
-        let response = link.send(request).await.map_err(|e| match e {
-            SendError::Unsent | SendError::Broken(_) => SyncError::Broken,
-        })?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_| SyncError::Broken)?.to_bytes();
-        self.link = Some(link);
-        Ok(store::decode(status, &body)?)
-    }
-
-    fn failed(&mut self, error: &SyncError) {
+    fn failed(&mut self, error: &CallError) {
         let table: &'static str = self.table.into();
         if !self.is_lost {
             self.is_lost = true;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backends;
 pub mod beat;
+pub mod gossip;
 pub mod hosts;
 pub mod listed;
 pub mod members;
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,13 +1,18 @@
 //! A bound on repeated sends, as a part of the requests seen lately.
 //!
-//! Each host spends its own part, so that no message between hosts is needed: the ratio holds for the
-//! sum because it holds for each, and the fixed part is divided by the number of hosts.
+//! The bound holds for all hosts together. Hosts tell each other what they have used; between two such
+//! exchanges each spends a share of what was left. A host that hears of nobody spends out of its own
+//! requests and its part of the fixed allowance, so that the sum holds without any message.
 
 use base::prelude::*;
 
 /// The parts into which a window is divided for counting.
 const PARTS: u64 = 10;
 
+/// The share of an equal division, in percent, that one host may spend between two exchanges; hosts
+/// do not all need theirs at the same moment.
+const SHARE_PERCENT: u64 = 150;
+
 /// The sums of one part of a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Part {
@@ -16,25 +21,49 @@
     repeats: u64,
 }
 
+/// What the other hosts have used within the window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Others {
+    /// The hosts that were heard of lately, this one included.
+    pub heard: u64,
+    /// The hosts that are known, this one included.
+    pub known: u64,
+    /// The requests of the other hosts that were heard of.
+    pub requests: u64,
+    /// Their repeats.
+    pub repeats: u64,
+}
+
 /// Repeats allowed within a sliding window.
 #[derive(Clone, Debug)]
 pub struct Budget {
     window: Millis,
-    /// The repeats allowed for each 1,000 requests.
+    /// The repeats allowed for each 1,000 requests of a window.
     permille: u64,
-    /// The repeats allowed besides, in each window.
+    /// The repeats allowed besides to all hosts together, in each window.
     extra: u64,
     parts: Vec<Part>,
+    others: Others,
+    /// The repeats of this host since the last exchange.
+    spent: u64,
 }
 
 impl Budget {
-    /// A budget of `permille` repeats for each 1,000 requests of a window, and `extra` besides.
-    pub fn new(window: Millis, permille: u64, extra: u64) -> Self {
+    /// A budget of `permille` repeats for each 1,000 requests of a window, and `extra` besides, among
+    /// `hosts` hosts of which nothing was heard yet.
+    pub fn new(window: Millis, permille: u64, extra: u64, hosts: u64) -> Self {
         Self {
             window: window.max(Millis(PARTS)),
             permille,
             extra,
             parts: Vec::new(),
+            others: Others {
+                heard: 1,
+                known: hosts.max(1),
+                requests: 0,
+                repeats: 0,
+            },
+            spent: 0,
         }
     }
 
@@ -49,15 +78,34 @@
             return false;
         }
         self.part(now).repeats += 1;
+        self.spent += 1;
         true
     }
 
-    /// The repeats that may still be sent now.
+    /// The repeats that this host may still send now.
     pub fn left(&self, now: Millis) -> u64 {
+        let (requests, repeats) = self.used(now);
+        let others = &self.others;
+        let earned = (requests + others.requests) * self.permille / 1_000;
+        let fixed = self.extra * others.heard / others.known;
+        let pool = (earned + fixed).saturating_sub(repeats + others.repeats);
+        // The pool is already less by what was spent since the exchange.
+        let before = pool + self.spent;
+        let share = (before * SHARE_PERCENT / 100 / others.heard).max(1);
+        pool.min(share.saturating_sub(self.spent))
+    }
+
+    /// The requests and repeats of this host within the window.
+    pub fn used(&self, now: Millis) -> (u64, u64) {
         let first = (self.number(now) + 1).saturating_sub(PARTS);
         let lately = self.parts.iter().filter(|p| p.number >= first);
-        let (requests, repeats) = lately.fold((0, 0), |(q, r), p| (q + p.requests, r + p.repeats));
-        (requests * self.permille / 1_000 + self.extra).saturating_sub(repeats)
+        lately.fold((0, 0), |(q, r), p| (q + p.requests, r + p.repeats))
+    }
+
+    /// Takes in what the others have used; this host's own use was told to them.
+    pub fn exchanged(&mut self, others: Others) {
+        self.others = others;
+        self.spent = 0;
     }
 
     fn part(&mut self, now: Millis) -> &mut Part {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -38,6 +38,8 @@
     pub callers: SocketAddr,
     /// For the balancer's question whether the host takes connections.
     pub ready: SocketAddr,
+    /// For the digests of other hosts, by UDP.
+    pub peers: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
 }
@@ -66,6 +68,7 @@
         faults.extend(name_fault("data_centre", self.data_centre.as_str()));
         faults.extend(address_fault("listen.callers", self.listen.callers));
         faults.extend(address_fault("listen.ready", self.listen.ready));
+        faults.extend(address_fault("listen.peers", self.listen.peers));
         let times = [
             ("retries.window_s", self.retries.window_s),
             ("grace_s", self.grace_s),
