--- /dev/null
+++ b/crates/balance/tests/prompt_placement.rs
@@ -0,0 +1,141 @@
+//! Placement of prompts where the memory of engines is the limit.
+
+use balance::place::{Candidate, Load, Told, Wish, best, place, shortlist};
+
+fn candidate(server: &str) -> Candidate<'_> {
+    Candidate {
+        server,
+        centre: "a",
+        capacity: 50_000,
+        ..Candidate::default()
+    }
+}
+
+fn busy(server: &str, load: Load) -> Candidate<'_> {
+    Candidate {
+        load,
+        ..candidate(server)
+    }
+}
+
+#[test]
+fn least_waiting_prompt_first() {
+    let reading = Load {
+        prefill: 5_000,
+        memory: 6_000,
+        ..Load::default()
+    };
+    let running = Load {
+        memory: 30_000,
+        ..Load::default()
+    };
+    let candidates = [busy("reading", reading), busy("running", running)];
+    let chosen = place(&candidates, &Wish::default()).unwrap();
+    assert_eq!(candidates[chosen].server, "running");
+}
+
+#[test]
+fn full_memory_comes_last() {
+    let nearly_full = Load {
+        memory: 30_000,
+        copies: 16_000,
+        ..Load::default()
+    };
+    let reading = Load {
+        prefill: 5_000,
+        ..Load::default()
+    };
+    let candidates = [busy("full", nearly_full), busy("reading", reading)];
+    let wish = Wish {
+        memory: 6_000,
+        ..Wish::default()
+    };
+    assert_eq!(place(&candidates, &wish), Some(1));
+}
+
+#[test]
+fn failures_and_doubts() {
+    let ejected = Candidate {
+        is_ejected: true,
+        ..candidate("ejected")
+    };
+    let doubtful = Candidate {
+        is_doubtful: true,
+        ..candidate("doubtful")
+    };
+    assert_eq!(place(&[ejected], &Wish::default()), None);
+    let candidates = [ejected, doubtful, candidate("sound")];
+    assert_eq!(place(&candidates, &Wish::default()), Some(2));
+    assert_eq!(
+        place(&candidates[..2], &Wish::default()),
+        Some(1),
+        "better than none"
+    );
+    let avoid = ["sound"];
+    let wish = Wish {
+        avoid: &avoid,
+        ..Wish::default()
+    };
+    assert_eq!(place(&candidates, &wish), Some(1));
+}
+
+#[test]
+fn another_centre_for_copies() {
+    let far = Candidate {
+        centre: "b",
+        load: Load {
+            memory: 20_000,
+            ..Load::default()
+        },
+        ..candidate("far")
+    };
+    let candidates = [candidate("near"), far];
+    let wish = Wish {
+        avoid_centre: Some("a"),
+        ..Wish::default()
+    };
+    assert_eq!(place(&candidates, &wish), Some(1));
+}
+
+#[test]
+fn equal_choices_are_spread() {
+    let candidates = ["a", "b", "c", "d"].map(candidate);
+    let mut taken = [0; 4];
+    for spread in 0..400 {
+        let wish = Wish {
+            spread,
+            ..Wish::default()
+        };
+        taken[place(&candidates, &wish).unwrap()] += 1;
+    }
+    assert!(taken.iter().all(|n| *n > 50), "{taken:?}");
+    let wish = Wish::default();
+    let list = shortlist(&candidates, &wish, 3);
+    assert_eq!(list.len(), 3);
+    assert_eq!(place(&candidates, &wish), Some(list[0]));
+}
+
+#[test]
+fn told_load_decides() {
+    let told = |waiting, running, used| {
+        Some(Told {
+            waiting,
+            running,
+            used,
+        })
+    };
+    assert_eq!(
+        best(&[told(1, 1, 9_000), told(0, 6, 30_000)], 6_000, 55_000),
+        Some(1)
+    );
+    assert_eq!(
+        best(&[told(0, 3, 9_000), told(0, 1, 30_000)], 6_000, 55_000),
+        Some(1)
+    );
+    assert_eq!(
+        best(&[told(0, 0, 52_000), told(2, 3, 9_000)], 6_000, 55_000),
+        Some(1)
+    );
+    assert_eq!(best(&[None, told(5, 9, 54_000)], 6_000, 55_000), Some(1));
+    assert_eq!(best(&[None, None], 6_000, 55_000), Some(0));
+}
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -252,6 +252,10 @@
 
     /// Continues the stream at another server.
     async fn resume(&mut self, mut outcome: Outcome) -> Result<(), Cut> {
+        if self.job.left(self.ctx.now()) == Millis(0) {
+            // The caller's time is over, which says nothing of the server.
+            return Err(self.cut("timeout"));
+        }
         let heard = self.progress.heard();
         self.leave(outcome);
         loop {
--- /dev/null
+++ b/crates/membership/tests/server_rows.rs
@@ -0,0 +1,126 @@
+//! Rows of the registry: what they mean for new requests, in order and out of it.
+
+use base::prelude::*;
+use membership::Roster;
+use membership::roster::{Change, Entry, RETURN_GRACE, State};
+
+fn entry(port: u16, state: State, born: u64) -> Entry {
+    Entry {
+        service: ServiceName::from("draft"),
+        addr: ([127, 0, 0, 1], port).into(),
+        centre: DataCentre::from("a"),
+        state,
+        slots: 4,
+        born,
+    }
+}
+
+fn usable(roster: &Roster, id: &str, now: u64) -> bool {
+    let member = roster.get(&BackendId::from(id));
+    member.is_some_and(|m| m.is_usable(Millis(now)))
+}
+
+#[test]
+fn leaving_and_removal() {
+    let mut roster = Roster::default();
+    let id = BackendId::from("i-1");
+    let serving = entry(1, State::Serving, 1);
+    assert_eq!(roster.put(id.clone(), serving, 5), Change::Added);
+    assert!(usable(&roster, "i-1", 0));
+    let leaving = entry(1, State::Leaving, 1);
+    assert_eq!(roster.put(id.clone(), leaving, 6), Change::Leaving);
+    assert!(!usable(&roster, "i-1", 0));
+    assert_eq!(roster.remove(&id, 7, Millis(0)), Change::Removed);
+    assert!(roster.is_empty());
+}
+
+#[test]
+fn older_rows_change_nothing() {
+    let mut roster = Roster::default();
+    let id = BackendId::from("i-1");
+    roster.put(id.clone(), entry(1, State::Leaving, 1), 6);
+    assert_eq!(
+        roster.put(id.clone(), entry(1, State::Serving, 1), 5),
+        Change::None
+    );
+    assert!(!usable(&roster, "i-1", 0));
+    assert_eq!(roster.remove(&id, 4, Millis(0)), Change::None);
+    assert_eq!(roster.len(), 1);
+}
+
+#[test]
+fn removal_after_outage() {
+    let mut roster = Roster::default();
+    let (kept, gone) = (BackendId::from("i-1"), BackendId::from("i-2"));
+    roster.put(kept.clone(), entry(1, State::Serving, 1), 1);
+    roster.put(gone.clone(), entry(2, State::Serving, 1), 2);
+    roster.lost();
+    assert!(roster.reached(Millis(1_000)));
+    assert_eq!(roster.remove(&kept, 3, Millis(1_001)), Change::Missing);
+    assert_eq!(roster.remove(&gone, 4, Millis(1_001)), Change::Missing);
+    assert!(usable(&roster, "i-1", 1_002) && usable(&roster, "i-2", 1_002));
+    roster.put(kept, entry(1, State::Serving, 1), 5);
+    let end = 1_000 + RETURN_GRACE.0;
+    assert!(usable(&roster, "i-1", end), "its row came back");
+    assert!(!usable(&roster, "i-2", end), "its row stayed away");
+    roster.expire(Millis(end));
+    assert_eq!(roster.len(), 1);
+    let later = roster.remove(&BackendId::from("i-1"), 6, Millis(end + 1));
+    assert_eq!(later, Change::Removed, "no doubt once the grace is over");
+}
+
+#[test]
+fn whole_reading_removes() {
+    let mut roster = Roster::default();
+    for (id, port) in [("i-1", 1), ("i-2", 2)] {
+        roster.put(BackendId::from(id), entry(port, State::Serving, 1), 1);
+    }
+    let missing = roster.keep_only(&[BackendId::from("i-2")], 9, Millis(0));
+    assert_eq!(missing, [BackendId::from("i-1")]);
+    assert!(!usable(&roster, "i-1", 0) && usable(&roster, "i-2", 0));
+}
+
+#[test]
+fn later_server_at_address() {
+    let mut roster = Roster::default();
+    roster.put(BackendId::from("old"), entry(1, State::Serving, 10), 1);
+    roster.put(BackendId::from("new"), entry(1, State::Serving, 20), 2);
+    assert!(!usable(&roster, "old", 0) && usable(&roster, "new", 0));
+    // The same, with the rows in the other order.
+    let mut roster = Roster::default();
+    roster.put(BackendId::from("new"), entry(1, State::Serving, 20), 2);
+    roster.put(BackendId::from("old"), entry(1, State::Serving, 10), 1);
+    assert!(!usable(&roster, "old", 0) && usable(&roster, "new", 0));
+}
+
+#[test]
+fn same_id_started_anew() {
+    let mut roster = Roster::default();
+    let id = BackendId::from("i-1");
+    roster.put(id.clone(), entry(1, State::Serving, 10), 1);
+    let change = roster.put(id, entry(1, State::Serving, 20), 2);
+    assert_eq!(change, Change::Restarted);
+}
+
+#[test]
+fn adopted_while_away() {
+    let mut roster = Roster::default();
+    let (old, new) = (BackendId::from("old"), BackendId::from("new"));
+    roster.put(old.clone(), entry(1, State::Serving, 10), 1);
+    assert_eq!(
+        roster.adopt(&old, &new, 20),
+        Change::None,
+        "the registry will tell"
+    );
+    assert!(!usable(&roster, "old", 0));
+
+    let mut roster = Roster::default();
+    roster.put(old.clone(), entry(1, State::Serving, 10), 1);
+    roster.lost();
+    assert_eq!(roster.adopt(&old, &new, 20), Change::Added);
+    assert!(usable(&roster, "new", 0) && !usable(&roster, "old", 0));
+    roster.reached(Millis(100));
+    let end = 100 + RETURN_GRACE.0;
+    assert!(usable(&roster, "new", end - 1), "its row is awaited");
+    assert!(!usable(&roster, "new", end), "no row came");
+}
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,7 +1,7 @@
 //! A bound on repeated sends, as a part of the requests seen lately.
 //!
 //! The bound holds for all hosts together. Hosts tell each other what they have used; between two such
-//! exchanges each spends a share of what was left. A host that hears of nobody spends out of its own
+//! exchanges each spends an equal share of what was left. A host that hears of nobody spends out of its own
 //! requests and its part of the fixed allowance, so that the sum holds without any message.
 
 use base::prelude::*;
@@ -9,10 +9,6 @@
 /// The parts into which a window is divided for counting.
 const PARTS: u64 = 10;
 
-/// The share of an equal division, in percent, that one host may spend between two exchanges; hosts
-/// do not all need theirs at the same moment.
-const SHARE_PERCENT: u64 = 150;
-
 /// The sums of one part of a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Part {
@@ -91,7 +87,7 @@
         let pool = (earned + fixed).saturating_sub(repeats + others.repeats);
         // The pool is already less by what was spent since the exchange.
         let before = pool + self.spent;
-        let share = (before * SHARE_PERCENT / 100 / others.heard).max(1);
+        let share = before / others.heard;
         pool.min(share.saturating_sub(self.spent))
     }
 
