Tests for the adapter, the gateway's settings and the gateway end to end; a stand-in of the users' platform

Change: gooseberry-standin has the users' store and backend servers, written from the published protocol; the gateway's start is a library call, so that tests run it in one process on ports of its own.

--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -13,13 +13,14 @@
 use membership::gossip::Gossip;
 use platform::store::Table;
 use relay::Budget;
-use settings::gateway::Gateway as Settings;
+use settings::gateway::{Gateway as Settings, Listen};
 use telemetry::lines::Lines;
 use thiserror::Error;
 use timer::Timer;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::context::Context;
 use crate::reply::{self, Body};
@@ -57,13 +58,46 @@
     Signal(#[from] io::Error),
 }
 
+/// A running gateway.
+pub struct Gateway {
+    /// What its requests share.
+    pub ctx: Arc<Context>,
+    /// The addresses on which it listens, with the ports that it was given.
+    pub listen: Listen,
+    host: HostId,
+    socket: Arc<UdpSocket>,
+    store: Store,
+    store_addr: watch::Sender<SocketAddr>,
+    _tasks: JoinSet<()>,
+}
+
 /// Runs a gateway until SIGTERM.
 ///
 /// # Errors
 ///
 /// [`RunError`] if it cannot start.
 pub async fn run(settings: Settings, file: &Path, lines: &Lines) -> Result<(), RunError> {
-    let timer = Timer::start();
+    let mut term = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let counter = lines.counter();
+    let gateway = start(&settings, move || counter.dropped_lines() as u64).await?;
+    let store = gateway.store_addr.clone();
+    let reloads = tokio::spawn(reload(hangup, file.to_owned(), settings, store));
+    term.recv().await;
+    reloads.abort();
+    gateway.stop().await;
+    Ok(())
+}
+
+/// Starts a gateway; `dropped_lines` counts what its log has lost.
+///
+/// # Errors
+///
+/// [`RunError`] if an address cannot be listened on.
+pub async fn start(
+    settings: &Settings,
+    dropped_lines: impl Fn() -> u64 + Clone + Send + Sync + 'static,
+) -> Result<Gateway, RunError> {
     let retries = settings.retries;
     let budget = Budget::new(
         millis(retries.window_s),
@@ -71,56 +105,66 @@
         retries.extra as u64,
         BUDGET_HOSTS,
     );
-    let gossip = Gossip::new(settings.host.clone(), Incarnation(rand::random()));
-    let ctx = Arc::new(Context::new(
-        timer,
-        millis(settings.grace_s),
-        budget,
-        gossip,
-    ));
-    let callers = listen(settings.listen.callers).await?;
-    let ready = listen(settings.listen.ready).await?;
-    let metrics = listen(settings.listen.metrics).await?;
-    let peers = settings.listen.peers;
-    let socket = UdpSocket::bind(peers)
-        .await
-        .map_err(|cause| RunError::Listen { addr: peers, cause })?;
-    let socket = Arc::new(socket);
-    let mut term = signal(SignalKind::terminate())?;
-    let hangup = signal(SignalKind::hangup())?;
+    let host = settings.host.clone();
+    let gossip = Gossip::new(host.clone(), Incarnation(rand::random()));
+    let grace = millis(settings.grace_s);
+    let ctx = Arc::new(Context::new(Timer::start(), grace, budget, gossip));
+    let (callers, callers_addr) = bind(settings.listen.callers).await?;
+    let (ready, ready_addr) = bind(settings.listen.ready).await?;
+    let (metrics, metrics_addr) = bind(settings.listen.metrics).await?;
+    let (socket, peers) = bind_datagrams(settings.listen.peers).await?;
+    let listen = Listen {
+        callers: callers_addr,
+        ready: ready_addr,
+        peers,
+        metrics: metrics_addr,
+    };
     tracing::info!(
-        host = %settings.host, data_centre = %settings.data_centre, store = %settings.store,
-        callers = %settings.listen.callers, version = env!("CARGO_PKG_VERSION"), "start"
+        %host, data_centre = %settings.data_centre, store = %settings.store,
+        callers = %listen.callers, version = env!("CARGO_PKG_VERSION"), "start"
     );
-    let (addr, addrs) = watch::channel(settings.store);
+    let (store_addr, addrs) = watch::channel(settings.store);
+    let store = || Store::new(Arc::clone(&ctx), addrs.clone());
+    let mut tasks = JoinSet::new();
     for table in [Table::Operator, Table::Servers] {
-        let store = Store::new(Arc::clone(&ctx), addrs.clone());
-        tokio::spawn(sync::follow(Arc::clone(&ctx), table, store));
+        tasks.spawn(sync::follow(Arc::clone(&ctx), table, store()));
     }
-    let host = settings.host.clone();
-    let mut store = Store::new(Arc::clone(&ctx), addrs.clone());
-    let own = Store::new(Arc::clone(&ctx), addrs);
-    tokio::spawn(hosts::register(Arc::clone(&ctx), own, host.clone(), peers));
-    tokio::spawn(gossip::tell(Arc::clone(&ctx), Arc::clone(&socket)));
-    tokio::spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
-    tokio::spawn(serve::accept(Arc::clone(&ctx), callers));
-    tokio::spawn(answer(Arc::clone(&ctx), ready, readiness));
-    let counter = lines.counter();
+    tasks.spawn(hosts::register(
+        Arc::clone(&ctx),
+        store(),
+        host.clone(),
+        peers,
+    ));
+    tasks.spawn(gossip::tell(Arc::clone(&ctx), Arc::clone(&socket)));
+    tasks.spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
+    tasks.spawn(serve::accept(Arc::clone(&ctx), callers));
+    tasks.spawn(answer(Arc::clone(&ctx), ready, readiness));
     let text = move |ctx: &Context| {
-        ctx.metrics
-            .dropped_lines
-            .set(counter.dropped_lines() as u64);
+        ctx.metrics.dropped_lines.set(dropped_lines());
         Response::new(reply::whole(ctx.metrics.text()))
     };
-    tokio::spawn(answer(Arc::clone(&ctx), metrics, text));
-    tokio::spawn(reload(hangup, file.to_owned(), settings, addr));
-    term.recv().await;
-    stop(&ctx).await;
-    gossip::send(&ctx, &socket, true).await;
-    if let Err(error) = hosts::leave(&mut store, &host).await {
-        tracing::info!(%error, "the row of this host was not removed");
+    tasks.spawn(answer(Arc::clone(&ctx), metrics, text));
+    let store = store();
+    Ok(Gateway {
+        ctx,
+        listen,
+        host,
+        socket,
+        store,
+        store_addr,
+        _tasks: tasks,
+    })
+}
+
+impl Gateway {
+    /// Waits for the requests in flight and takes leave of the other hosts.
+    pub async fn stop(mut self) {
+        stop(&self.ctx).await;
+        gossip::send(&self.ctx, &self.socket, true).await;
+        if let Err(error) = hosts::leave(&mut self.store, &self.host).await {
+            tracing::info!(%error, "the row of this host was not removed");
+        }
     }
-    Ok(())
 }
 
 /// Waits for the requests in flight, within the grace.
@@ -209,8 +253,17 @@
     Millis((seconds * 1_000.0) as u64)
 }
 
-async fn listen(addr: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|cause| RunError::Listen { addr, cause })
+/// Listens on `addr`; returns the address with the port that was given, if any port was asked for.
+async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
+    let failed = |cause| RunError::Listen { addr, cause };
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let given = listener.local_addr().map_err(failed)?;
+    Ok((listener, given))
+}
+
+async fn bind_datagrams(addr: SocketAddr) -> Result<(Arc<UdpSocket>, SocketAddr), RunError> {
+    let failed = |cause| RunError::Listen { addr, cause };
+    let socket = UdpSocket::bind(addr).await.map_err(failed)?;
+    let given = socket.local_addr().map_err(failed)?;
+    Ok((Arc::new(socket), given))
 }
--- /dev/null
+++ b/crates/gooseberry-gateway/tests/store_away.rs
@@ -0,0 +1,96 @@
+//! The store is away, forgets its history, or loses rows meanwhile.
+
+mod site;
+
+use gooseberry_standin::faults::Switch;
+use hyper::StatusCode;
+use site::{Site, config, exchange, generation, request};
+
+fn outage(site: &Site, is_out: bool) {
+    site.store.faults.apply(&Switch {
+        outage: Some(is_out),
+        ..Switch::default()
+    });
+}
+
+fn is_away(site: &Site) -> bool {
+    site.gateway.ctx.servers.is_away()
+}
+
+#[tokio::test]
+async fn serves_on() {
+    let site = Site::start().await;
+    outage(&site, true);
+    site.until("the outage is noticed", || is_away(&site)).await;
+    assert!(site.is_ready().await);
+    assert_eq!(
+        site.ask(request("1", "/safe/a")).await.status,
+        StatusCode::OK
+    );
+    site.configure(5, &config(5));
+    outage(&site, false);
+    site.until("what was missed is read", || site.version() == 5)
+        .await;
+}
+
+#[tokio::test]
+async fn lapsed_rows_are_doubted() {
+    let site = Site::start().await;
+    outage(&site, true);
+    site.until("the outage is noticed", || is_away(&site)).await;
+    site.put("servers", "p-1", None);
+    site.put("servers", "p-2", None);
+    outage(&site, false);
+    site.until("the store is back", || !is_away(&site)).await;
+    assert_eq!(
+        site.ask(request("1", "/safe/a")).await.status,
+        StatusCode::OK
+    );
+    site.until("rows that stay away are gone", || site.usable() == 2)
+        .await;
+}
+
+#[tokio::test]
+async fn forgotten_history() {
+    let site = Site::start().await;
+    outage(&site, true);
+    site.until("the outage is noticed", || is_away(&site)).await;
+    site.server("p-3", false, "a").await;
+    site.put("servers", "p-1", None);
+    site.store.compact();
+    outage(&site, false);
+    site.until("the table is read whole", || {
+        let fleet = site.gateway.ctx.servers.lock();
+        fleet.roster.get(&"p-3".into()).is_some()
+    })
+    .await;
+    site.until("the missing row is gone", || site.usable() == 4)
+        .await;
+}
+
+#[tokio::test]
+async fn engine_met_without_a_row() {
+    let site = Site::bare().await;
+    let listener = site::listener().await;
+    let addr = listener.local_addr().unwrap();
+    site.serve(listener, "new", true);
+    site.list("old", addr, true, "a", "ready");
+    site.configure(1, &config(1));
+    site.until("ready", || site.version() == 1 && site.listed() == 1)
+        .await;
+    outage(&site, true);
+    site.until("the outage is noticed", || is_away(&site)).await;
+    let answer = site.ask(generation("1", "/draft/a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(site.shared.runs("1")[0].headers["expect-instance"], "new");
+}
+
+#[tokio::test]
+async fn hosts_list_themselves() {
+    let site = Site::start().await;
+    let row = || site.store.get("gooseberry-hosts", "host-1");
+    site.until("the host's row", || row().is_some()).await;
+    let mut link = site.open().await;
+    let answer = exchange(&mut link, request("1", "/safe/a")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- a/crates/gooseberry-standin/src/lib.rs
+++ b/crates/gooseberry-standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the systems outside: engines, a plain service and the platform.
+//! Stand-ins for the systems outside: engines, a plain service, our own platform and the users'.
 //!
 //! They keep to the wire shapes of the adapter crates and add fault switches over HTTP under
 //! `/faults`. For tests and measurements only.
@@ -8,3 +8,4 @@
 pub mod platform;
 pub mod sequence;
 pub mod service;
+pub mod site;
--- a/crates/gooseberry-standin/src/main.rs
+++ b/crates/gooseberry-standin/src/main.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use bpaf::Bpaf;
+use gooseberry_standin::site::{store, worker};
 use gooseberry_standin::{engine, platform, service};
 use serde::de::DeserializeOwned;
 use settings::SettingsError;
@@ -24,6 +26,12 @@
     /// The platform: table, object store and host list.
     #[bpaf(command)]
     Platform(#[bpaf(external(place))] Place),
+    /// The store of the users' platform.
+    #[bpaf(command)]
+    SiteStore(#[bpaf(external(place))] Place),
+    /// A backend server of the users' platform.
+    #[bpaf(command)]
+    SiteWorker(#[bpaf(external(place))] Place),
 }
 
 /// Where a stand-in listens and what it is like.
@@ -74,6 +82,16 @@
             let listener = bind(&place, &mut settings.listen).await?;
             platform::run(listener, settings, stop).await;
         }
+        Command::SiteStore(place) => {
+            let mut settings: store::Settings = load(&place)?;
+            let listener = bind(&place, &mut settings.listen).await?;
+            store::run(listener, Arc::new(store::Store::default()), stop).await;
+        }
+        Command::SiteWorker(place) => {
+            let mut settings: worker::Settings = load(&place)?;
+            let listener = bind(&place, &mut settings.listen).await?;
+            worker::run(listener, settings, worker::Shared::default(), stop).await;
+        }
     }
     Ok(())
 }
--- a/crates/gooseberry-standin/src/service.rs
+++ b/crates/gooseberry-standin/src/service.rs
@@ -176,7 +176,7 @@
 }
 
 /// Adds a key to the file; what is written stays when the process is killed.
-fn record(file: &PathBuf, key: &str) {
+pub(crate) fn record(file: &PathBuf, key: &str) {
     let opened = std::fs::File::options()
         .create(true)
         .append(true)
--- /dev/null
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -0,0 +1,392 @@
+//! A backend server: a model engine that answers with streams of events, or a plain service.
+//!
+//! The last part of a request's path may name a misbehaviour, see [`Quirk`].
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base::hash::stable;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use strum::EnumString;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use web::{BodySender, Response, StreamCut, reply};
+
+use crate::faults::Faults;
+use crate::service::record;
+use crate::site::response;
+
+/// The largest request body, in bytes.
+const MAX_BYTES: usize = 16 << 20;
+
+/// The seal of each answer.
+const SEAL: &str = "3e1b.07.5a2";
+
+/// The settings of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its id.
+    pub id: String,
+    /// Whether it is an engine.
+    pub engine: bool,
+    /// The time that a call takes, or a prompt, in milliseconds.
+    pub work_ms: u64,
+    /// The time between two events, in milliseconds.
+    pub event_ms: u64,
+    /// The events of a whole stream.
+    pub events: u64,
+    /// The requests that it runs at once; more are rejected.
+    pub slots: usize,
+    /// The file to which the id of each request is added before it runs.
+    pub record: Option<PathBuf>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            id: "i-1".to_owned(),
+            engine: false,
+            work_ms: 5,
+            event_ms: 5,
+            events: 30,
+            slots: 64,
+            record: None,
+        }
+    }
+}
+
+/// A misbehaviour that a request asks for by the last part of its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Quirk {
+    /// A success without a seal.
+    NoSeal,
+    /// A body in another encoding.
+    Encoded,
+    /// The answer to another request.
+    Foreign,
+    /// A body that breaks off.
+    Cut,
+    /// A failure, the first time.
+    FailFirst,
+    /// Not run, the first time.
+    RejectFirst,
+    /// Never run.
+    Reject,
+    /// No answer.
+    Hang,
+    /// A stream that breaks off within an event, the first time.
+    BreakFirst,
+    /// A stream that falls silent, the first time.
+    SilentFirst,
+}
+
+/// A request as a backend server saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The id of the attempt.
+    pub id: String,
+    /// The path and query.
+    pub path: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What the backend servers of one test share.
+#[derive(Clone, Debug, Default)]
+pub struct Shared {
+    /// Every request that ran, in order.
+    seen: Arc<Mutex<Vec<Seen>>>,
+    /// Requests whose caller left before the answer was whole.
+    left: Arc<Mutex<Vec<String>>>,
+    /// Copies of running streams: who holds them, of which request.
+    copies: Arc<Mutex<Vec<(SocketAddr, String)>>>,
+}
+
+impl Shared {
+    /// The requests that ran with this id.
+    pub fn runs(&self, id: &str) -> Vec<Seen> {
+        let seen = lock(&self.seen);
+        seen.iter().filter(|s| s.id == id).cloned().collect()
+    }
+
+    /// Whether the caller of a request left before the answer was whole.
+    pub fn has_left(&self, id: &str) -> bool {
+        lock(&self.left).iter().any(|l| l == id)
+    }
+}
+
+/// A backend server.
+struct Worker {
+    settings: Settings,
+    addr: SocketAddr,
+    faults: Faults,
+    shared: Shared,
+    running: Mutex<usize>,
+}
+
+/// Counts a request while it runs, and notes whether its caller left.
+struct Running {
+    worker: Arc<Worker>,
+    id: String,
+    is_whole: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        *lock(&self.worker.running) -= 1;
+        if !self.is_whole {
+            lock(&self.worker.shared.left).push(self.id.clone());
+        }
+    }
+}
+
+/// Runs a backend server on `listener` until `stop` is cancelled.
+pub async fn run(
+    listener: TcpListener,
+    settings: Settings,
+    shared: Shared,
+    stop: CancellationToken,
+) {
+    let addr = listener.local_addr().unwrap_or(settings.listen);
+    let worker = Arc::new(Worker {
+        settings,
+        addr,
+        faults: Faults::default(),
+        shared,
+        running: Mutex::default(),
+    });
+    let handler = move |request| handle(Arc::clone(&worker), request);
+    web::server::serve(listener, stop, handler).await;
+}
+
+async fn handle(worker: Arc<Worker>, request: Request<Incoming>) -> Response {
+    match request.uri().path() {
+        "/faults" => return worker.faults.switch(request).await,
+        "/report" if worker.settings.engine => return report(&worker),
+        "/kv-move" if worker.settings.engine => return copy(&worker, request).await,
+        _ => {}
+    }
+    let expected = text(request.headers(), "expect-instance");
+    if !expected.is_empty() && expected != worker.settings.id {
+        let headers = [("instance-id", worker.settings.id.as_str())];
+        return response(StatusCode::MISDIRECTED_REQUEST, &headers, "");
+    }
+    work(worker, request).await
+}
+
+async fn work(worker: Arc<Worker>, request: Request<Incoming>) -> Response {
+    let (head, body) = request.into_parts();
+    let id = text(&head.headers, "attempt-id").to_owned();
+    let path = head.uri.path().to_owned();
+    let quirk = path.rsplit('/').next().and_then(|q| q.parse().ok());
+    let body = match reply::read_bytes(body, MAX_BYTES).await {
+        Ok(body) => body,
+        Err(e) => return response(StatusCode::BAD_REQUEST, &[], e.to_string()),
+    };
+    let is_first = worker.shared.runs(&id).is_empty();
+    let is_rejected = match quirk {
+        Some(Quirk::RejectFirst) => is_first && lock(&worker.shared.left).is_empty(),
+        Some(Quirk::Reject) => true,
+        _ => false,
+    };
+    let copy = text(&head.headers, "kv-from");
+    let is_full = *lock(&worker.running) >= worker.settings.slots;
+    if is_rejected || is_full || !has_copy(&worker, copy, &id) {
+        if quirk == Some(Quirk::RejectFirst) {
+            lock(&worker.shared.left).push(id);
+        }
+        return response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &[("not-executed", "1")],
+            "",
+        );
+    }
+    if let Some(file) = &worker.settings.record {
+        record(file, &id);
+    }
+    let holder = text(&head.headers, "kv-backup").parse();
+    if let Ok(holder) = holder {
+        lock(&worker.shared.copies).push((holder, id.clone()));
+    }
+    let from = text(&head.headers, "last-event-id").parse().unwrap_or(0);
+    lock(&worker.shared.seen).push(Seen {
+        id: id.clone(),
+        path: head.uri.to_string(),
+        headers: head.headers,
+        body: body.clone(),
+    });
+    *lock(&worker.running) += 1;
+    let running = Running {
+        worker: Arc::clone(&worker),
+        id,
+        is_whole: false,
+    };
+    let quirk = quirk.filter(|q| is_first || !is_once(*q));
+    sleep(Duration::from_millis(worker.settings.work_ms)).await;
+    worker.faults.hold().await;
+    if worker.settings.engine {
+        stream(running, &body, from, quirk)
+    } else {
+        answer(running, &body, quirk).await
+    }
+}
+
+/// Whether a misbehaviour shows only the first time that a request runs.
+fn is_once(quirk: Quirk) -> bool {
+    matches!(
+        quirk,
+        Quirk::FailFirst | Quirk::BreakFirst | Quirk::SilentFirst
+    )
+}
+
+/// Whether the copy that a request refers to is here; true if it refers to none.
+fn has_copy(worker: &Worker, reference: &str, id: &str) -> bool {
+    reference.is_empty()
+        || lock(&worker.shared.copies)
+            .iter()
+            .any(|(holder, of)| *holder == worker.addr && of == id)
+}
+
+/// Answers a call.
+async fn answer(mut running: Running, body: &Bytes, quirk: Option<Quirk>) -> Response {
+    if quirk == Some(Quirk::Hang) {
+        std::future::pending::<()>().await;
+    }
+    let id = running.id.clone();
+    let status = match quirk {
+        Some(Quirk::FailFirst) => StatusCode::INTERNAL_SERVER_ERROR,
+        _ => StatusCode::OK,
+    };
+    let mut headers = vec![("attempt-id", id.as_str()), ("server-load", "1,0,4")];
+    match quirk {
+        Some(Quirk::NoSeal) => {}
+        Some(Quirk::Encoded) => {
+            headers.extend([("response-seal", SEAL), ("content-encoding", "x")])
+        }
+        Some(Quirk::Foreign) => {
+            headers[0].1 = "another";
+            headers.push(("response-seal", SEAL));
+        }
+        _ => headers.push(("response-seal", SEAL)),
+    }
+    if quirk == Some(Quirk::Cut) {
+        let (sender, mut cut) = reply::events();
+        for (name, value) in response(status, &headers, "").headers() {
+            cut.headers_mut().insert(name.clone(), value.clone());
+        }
+        tokio::spawn(break_off(sender, Bytes::from_static(b"half of")));
+        return cut;
+    }
+    running.is_whole = true;
+    let text = format!("{:x}", stable(body));
+    response(status, &headers, text)
+}
+
+/// Sends a piece of a body and breaks off.
+async fn break_off(mut sender: BodySender, piece: Bytes) {
+    if sender.send_data(piece).await.is_ok() {
+        // The piece must be on its way before the connection ends.
+        sleep(Duration::from_millis(20)).await;
+    }
+    sender.abort(StreamCut);
+}
+
+/// Answers with a stream that goes on behind the event `from`.
+fn stream(running: Running, body: &Bytes, from: u64, quirk: Option<Quirk>) -> Response {
+    let (sender, mut response) = reply::events();
+    let id = running.id.clone();
+    let sealed = super::response(
+        StatusCode::OK,
+        &[("attempt-id", id.as_str()), ("response-seal", SEAL)],
+        "",
+    );
+    for (name, value) in sealed.headers() {
+        response.headers_mut().insert(name.clone(), value.clone());
+    }
+    tokio::spawn(events(running, sender, stable(body), from, quirk));
+    response
+}
+
+async fn events(
+    mut running: Running,
+    mut sender: BodySender,
+    content: u64,
+    from: u64,
+    quirk: Option<Quirk>,
+) {
+    let worker = Arc::clone(&running.worker);
+    let stream = worker.faults.open_stream();
+    let middle = from + (worker.settings.events - from.min(worker.settings.events)) / 2;
+    for number in from + 1..=worker.settings.events {
+        worker.faults.hold().await;
+        if worker.faults.is_silent(stream) {
+            return std::future::pending().await;
+        }
+        if number == middle && quirk == Some(Quirk::SilentFirst) {
+            // Ends when the caller closes the connection, which the failing send below would show.
+            sleep(Duration::from_secs(600)).await;
+        }
+        let event = event(content, number);
+        if number == middle && quirk == Some(Quirk::BreakFirst) {
+            return break_off(sender, Bytes::from(event[..event.len() / 2].to_owned())).await;
+        }
+        if sender.send_data(Bytes::from(event)).await.is_err() {
+            return;
+        }
+        sleep(Duration::from_millis(worker.settings.event_ms)).await;
+    }
+    running.is_whole = true;
+}
+
+/// The event of this number in the answer to a request whose body has the hash `content`.
+pub fn event(content: u64, number: u64) -> String {
+    format!("id: {number}\ndata: {content:x}-{number}\n\n")
+}
+
+fn report(worker: &Worker) -> Response {
+    let running = *lock(&worker.running);
+    let body = json!({
+        "stage": "mixed", "busy": false, "seq": 0, "queued": 0, "running": running,
+        "kv-used": running * 6_000, "kv-total": 55_000, "handles": 0, "born": 1,
+    });
+    reply::json(StatusCode::OK, &body)
+}
+
+async fn copy(worker: &Worker, request: Request<Incoming>) -> Response {
+    let body: serde_json::Value = match reply::read_json(request, MAX_BYTES).await {
+        Ok(body) => body,
+        Err(e) => return response(StatusCode::BAD_REQUEST, &[], e.to_string()),
+    };
+    let id = body["id"].as_str().unwrap_or_default().to_owned();
+    match body["to"].as_str().unwrap_or_default().parse() {
+        Ok(holder) => {
+            lock(&worker.shared.copies).push((holder, id));
+            reply::json(StatusCode::OK, &json!({"handle": "h-1", "created": 0}))
+        }
+        Err(_) => response(StatusCode::SERVICE_UNAVAILABLE, &[], ""),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(|e| e.into_inner())
+}
