--- a/crates/gooseberry-bench/src/soak.rs
+++ b/crates/gooseberry-bench/src/soak.rs
@@ -26,6 +26,9 @@
 /// The time without faults before the end, after which everything must be served again.
 const CALM: Duration = Duration::from_secs(5);
 
+/// In one of so many seeds only planned work is done, under which nothing may be cut.
+const PLANNED_EVERY: u64 = 4;
+
 /// How the soak runs.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct Options {
@@ -81,11 +84,12 @@
     let mut site = Site::start(folder, seed, shape).await?;
     let callers = Callers::start(&site, options.callers, seed);
     let end = tokio::time::Instant::now() + Duration::from_secs(options.seconds);
+    let is_planned = seed.is_multiple_of(PLANNED_EVERY);
     let mut count = 0;
     while tokio::time::Instant::now() < end {
         let pause = rng.random_range(100..900);
         tokio::time::sleep(Duration::from_millis(pause)).await;
-        let fault = Fault::draw(&mut rng, &shape);
+        let fault = Fault::draw(&mut rng, &shape, is_planned);
         println!("seed {seed}: {fault:?}");
         site.inject(&fault, &mut rng).await?;
         count += 1;
@@ -95,7 +99,7 @@
     let mut findings = judge::recovered(&site, seed).await;
     let records = callers.stop().await;
     site.stop().await;
-    findings.extend(judge::judge(&records, &site));
+    findings.extend(judge::judge(&records, &site, is_planned));
     println!("seed {seed}: {count} faults, {}", judge::summary(&records));
     Ok(findings)
 }
--- a/crates/gooseberry-bench/src/soak/faults.rs
+++ b/crates/gooseberry-bench/src/soak/faults.rs
@@ -1,6 +1,6 @@
 //! What may go wrong, drawn at random; faults come in series and overlap.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gooseberry_standin::faults::Switch;
 use gooseberry_standin::site::documents;
@@ -63,10 +63,22 @@
     span_ms: u64,
 }
 
+/// What operators do on an ordinary day.
+const PLANNED: [Kind; 4] = [
+    Kind::StopGateway,
+    Kind::ReloadGateway,
+    Kind::DrainServer,
+    Kind::Configure,
+];
+
 impl Fault {
-    /// Draws a fault.
-    pub(crate) fn draw(rng: &mut SmallRng, shape: &Shape) -> Self {
-        let kind = Kind::from_repr(rng.random_range(0..Kind::COUNT)).unwrap_or(Kind::Heal);
+    /// Draws a fault, or planned work only.
+    pub(crate) fn draw(rng: &mut SmallRng, shape: &Shape, is_planned: bool) -> Self {
+        let kind = if is_planned {
+            PLANNED[rng.random_range(0..PLANNED.len())]
+        } else {
+            Kind::from_repr(rng.random_range(0..Kind::COUNT)).unwrap_or(Kind::Heal)
+        };
         let count = match kind {
             Kind::KillGateway
             | Kind::PauseGateway
@@ -93,15 +105,6 @@
     ) -> Result<(), BenchError> {
         let i = fault.target;
         let span = Duration::from_millis(fault.span_ms);
-        if !matches!(
-            fault.kind,
-            Kind::StopGateway | Kind::ReloadGateway | Kind::Configure
-        ) {
-            let now = Instant::now() + span;
-            for gateway in &mut self.gateways {
-                gateway.harmed = now;
-            }
-        }
         match fault.kind {
             Kind::KillServer => self.kill_server(i).await,
             Kind::KillCentre => {
@@ -121,7 +124,7 @@
                 }
             }
             Kind::DrainServer => self.drain(i).await?,
-            Kind::LapseServer => self.unlist(i).await?,
+            Kind::LapseServer => self.lapse(i).await?,
             Kind::DisturbServer => disturb(&self.servers[i].proxy, rng),
             Kind::KillGateway => {
                 self.kill_gateway(i).await;
--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -52,8 +52,6 @@
     pub(crate) front: Proxy,
     /// Between the gateway and the store.
     pub(crate) back: Proxy,
-    /// When a fault last touched it that was not planned.
-    pub(crate) harmed: Instant,
 }
 
 /// A backend server and the proxy before it.
@@ -64,7 +62,7 @@
     settings: worker::Settings,
     centre: &'static str,
     lives: u64,
-    /// Whether it is listed as leaving.
+    /// Whether it is listed as leaving, or no longer listed.
     leaving: bool,
     pub(crate) proxy: Proxy,
 }
@@ -203,7 +201,6 @@
             ready: settings.listen.ready,
             front: Proxy::start(front, own).await?,
             back: Proxy::start(back, self.store_addr).await?,
-            harmed: Instant::now(),
         });
         self.run_gateway(i)
     }
@@ -263,12 +260,22 @@
         self.servers[i].child.as_mut()
     }
 
-    /// Lists a backend server as leaving.
+    /// Lists a backend server as leaving, unless a third of them leave already.
     pub(crate) async fn drain(&mut self, i: usize) -> Result<(), BenchError> {
+        let leaving = self.servers.iter().filter(|s| s.leaving).count();
+        if leaving * 3 >= self.servers.len() {
+            return Ok(());
+        }
         self.servers[i].leaving = true;
         self.list(i).await
     }
 
+    /// Takes the row of a backend server away although it lives.
+    pub(crate) async fn lapse(&mut self, i: usize) -> Result<(), BenchError> {
+        self.servers[i].leaving = true;
+        self.unlist(i).await
+    }
+
     async fn list(&self, i: usize) -> Result<(), BenchError> {
         let server = &self.servers[i];
         let state = if server.leaving { "draining" } else { "ready" };
@@ -284,8 +291,7 @@
             .await
     }
 
-    /// Takes the row of a backend server away.
-    pub(crate) async fn unlist(&self, i: usize) -> Result<(), BenchError> {
+    async fn unlist(&self, i: usize) -> Result<(), BenchError> {
         self.put(documents::SERVERS, &self.servers[i].settings.id, None)
             .await
     }
--- /dev/null
+++ b/crates/gooseberry-bench/tests/soak_smoke.rs
@@ -0,0 +1,23 @@
+//! Short seeded runs of the soak: random faults, and planned work only.
+
+use std::process::Command;
+
+fn soak(seed: &str) {
+    let output = Command::new(env!("CARGO_BIN_EXE_gooseberry-bench"))
+        .args(["soak", "--seed", seed, "--seconds", "4", "--callers", "8"])
+        .output()
+        .expect("the bench starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}{errors}");
+}
+
+#[test]
+fn random_faults() {
+    soak("3");
+}
+
+#[test]
+fn planned_work() {
+    soak("4");
+}
