bench: stops of gateways overlap with other faults in the soak

Cause: a stop was waited for before the next fault, so that series did not overlap; the end waited the whole grace of each gateway. Change: gateways that have ended are started again between faults.

--- a/crates/gooseberry-bench/src/harness/child.rs
+++ b/crates/gooseberry-bench/src/harness/child.rs
@@ -80,6 +80,12 @@
         self.signal(Signal::HUP);
     }
 
+    /// Whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        // An error means that the process is no longer there to be waited for.
+        !matches!(self.process.try_wait(), Ok(None))
+    }
+
     /// Waits for the process to end and returns whether it ended with success.
     pub(crate) async fn wait(&mut self) -> bool {
         let status = self.process.wait().await;
--- a/crates/gooseberry-bench/src/soak.rs
+++ b/crates/gooseberry-bench/src/soak.rs
@@ -92,6 +92,7 @@
         let fault = Fault::draw(&mut rng, &shape, is_planned);
         println!("seed {seed}: {fault:?}");
         site.inject(&fault, &mut rng).await?;
+        site.revive()?;
         count += 1;
     }
     site.heal().await?;
--- a/crates/gooseberry-bench/src/soak/faults.rs
+++ b/crates/gooseberry-bench/src/soak/faults.rs
@@ -126,10 +126,7 @@
             Kind::DrainServer => self.drain(i).await?,
             Kind::LapseServer => self.lapse(i).await?,
             Kind::DisturbServer => disturb(&self.servers[i].proxy, rng),
-            Kind::KillGateway => {
-                self.kill_gateway(i).await;
-                self.run_gateway(i)?;
-            }
+            Kind::KillGateway => self.kill_gateway(i).await,
             Kind::PauseGateway => {
                 if let Some(child) = self.gateway(i) {
                     child.freeze();
@@ -137,7 +134,11 @@
                     child.thaw();
                 }
             }
-            Kind::StopGateway => self.stop_gateway(i).await?,
+            Kind::StopGateway => {
+                if let Some(child) = self.gateway(i) {
+                    child.terminate();
+                }
+            }
             Kind::ReloadGateway => {
                 if let Some(child) = self.gateway(i) {
                     child.reload();
@@ -171,21 +172,6 @@
         Ok(())
     }
 
-    /// Tells a gateway to stop, as before planned work, and starts it again once it has ended.
-    async fn stop_gateway(&mut self, i: usize) -> Result<(), BenchError> {
-        let Some(child) = self.gateway(i) else {
-            return Ok(());
-        };
-        child.terminate();
-        if tokio::time::timeout(super::site::GRACE, child.wait())
-            .await
-            .is_err()
-        {
-            self.kill_gateway(i).await;
-        }
-        self.run_gateway(i)
-    }
-
     fn join_connections(&self) {
         for gateway in &self.gateways {
             gateway.front.heal();
--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -206,7 +206,7 @@
     }
 
     /// Starts the process of a gateway.
-    pub(crate) fn run_gateway(&mut self, i: usize) -> Result<(), BenchError> {
+    fn run_gateway(&mut self, i: usize) -> Result<(), BenchError> {
         let gateway = &mut self.gateways[i];
         let child = Child::start(&self.folder, "gooseberry-gateway", &[], &gateway.file)?;
         gateway.child = Some(child);
@@ -375,10 +375,12 @@
             if let Some(child) = self.gateway(i) {
                 child.thaw();
             }
-            // One that was told to stop is waited for, within its grace.
-            if self.has_ended(i).await {
-                self.run_gateway(i)?;
-            }
+        }
+        // Those that were told to stop end within their grace.
+        let end = Instant::now() + GRACE;
+        while Instant::now() < end && !self.all_ready().await {
+            self.revive()?;
+            tokio::time::sleep(Duration::from_millis(100)).await;
         }
         for i in 0..self.servers.len() {
             self.servers[i].proxy.heal();
@@ -393,15 +395,23 @@
         self.wait_until_ready().await
     }
 
-    /// Whether a gateway does not run, or ends within the grace because it was told to stop.
-    async fn has_ended(&mut self, i: usize) -> bool {
-        if is_ready(self.gateways[i].ready).await {
-            return false;
+    /// Starts every gateway again whose process has ended.
+    pub(crate) fn revive(&mut self) -> Result<(), BenchError> {
+        for i in 0..self.gateways.len() {
+            if self.gateway(i).is_none_or(Child::has_ended) {
+                self.run_gateway(i)?;
+            }
         }
-        let Some(child) = self.gateway(i) else {
-            return true;
-        };
-        tokio::time::timeout(GRACE, child.wait()).await.is_ok()
+        Ok(())
+    }
+
+    async fn all_ready(&self) -> bool {
+        for gateway in &self.gateways {
+            if !is_ready(gateway.ready).await {
+                return false;
+            }
+        }
+        true
     }
 
     /// The ids that ran, each as often as it ran.
