probe: all hosts ask the same few engines for the same prompt

Change: the engines to ask are chosen by rendezvous hashing of the prompt's own part; among equals the first is taken.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -5,7 +5,9 @@
 //! before the number of requests. Placed by what this host knows of its own requests; equal choices
 //! are drawn at random, so that hosts do not all take the same server.
 
-use base::hash::stable;
+use std::cmp::Reverse;
+
+use base::hash::{rendezvous, stable};
 
 /// What this host has placed at a server and what the server has told.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,6 +50,8 @@
     pub avoid_centre: Option<&'a str>,
     /// A number that spreads equal choices, drawn at random.
     pub spread: u64,
+    /// A hash of the prompt that is the same for each repeat of the request.
+    pub content: Option<u64>,
 }
 
 /// What a server has just said of itself.
@@ -61,27 +65,36 @@
     pub used: u64,
 }
 
-/// The indices of at most `count` servers to use, the best first.
+/// The indices of at most `count` servers to ask, in the order in which they may hold the prompt.
+///
+/// Answers streams that callers continue through another host after theirs has failed: all hosts find
+/// the same few servers for the same prompt, by rendezvous hashing, and the one that ran it before
+/// still has it in its memory.
 pub fn shortlist(candidates: &[Candidate<'_>], wish: &Wish<'_>, count: usize) -> Vec<usize> {
+    let key = format!("{:x}", wish.content.unwrap_or(wish.spread));
     let mut found: Vec<usize> = (0..candidates.len())
         .filter(|i| !candidates[*i].is_ejected)
         .collect();
-    found.sort_by_cached_key(|i| order(candidates, wish, *i));
+    found.sort_by_cached_key(|i| {
+        let c = &candidates[*i];
+        let is_last = wish.avoid.contains(&c.server);
+        (is_last, c.is_doubtful, Reverse(rendezvous(&key, c.server)))
+    });
     found.truncate(count);
     found
 }
 
 /// The index of the best of servers that were asked; those that did not answer come last.
 ///
-/// Answers a fleet of many hosts, each of which sees little of a server's load: a few servers drawn
-/// at random are asked, and the prompt goes where the fewest prompts wait.
+/// Answers a fleet of many hosts, each of which sees little of a server's load: a few servers are
+/// asked, and the prompt goes where the fewest prompts wait; among equals, to the first.
 pub fn best(told: &[Option<Told>], needed: u64, capacity: u64) -> Option<usize> {
     let order = |i: &usize| match told[*i] {
         Some(t) => {
             let is_full = capacity > 0 && t.used + needed > capacity;
-            (false, is_full, t.waiting, t.running, t.used, *i)
+            (false, is_full, t.waiting, t.running, *i)
         }
-        None => (true, false, 0, 0, 0, *i),
+        None => (true, false, 0, 0, *i),
     };
     (0..told.len()).min_by_key(order)
 }
--- a/crates/gooseberry-gateway/src/copies.rs
+++ b/crates/gooseberry-gateway/src/copies.rs
@@ -158,6 +158,7 @@
         capacity: memory.capacity,
         avoid,
         avoid_centre: Some(centre.as_str()),
+        content: None,
     };
     let lease = ctx.servers.place(ctx.now(), &want)?;
     (!avoid.contains(&lease.id)).then_some(lease)
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -80,6 +80,8 @@
     pub avoid: &'a [BackendId],
     /// A data centre that is taken only if there is no other.
     pub avoid_centre: Option<&'a str>,
+    /// A hash of the prompt that is the same for each repeat of the request.
+    pub content: Option<u64>,
 }
 
 impl Servers {
@@ -274,6 +276,7 @@
             avoid: &avoid,
             avoid_centre: want.avoid_centre,
             spread: rand::random(),
+            content: want.content,
         };
         let chosen = pick(&candidates, &wish);
         chosen.into_iter().map(|i| members[i].0.clone()).collect()
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -17,6 +17,8 @@
     pub output: u64,
     /// The caller's estimate of the output in tokens; often far off.
     pub estimate: Option<u64>,
+    /// A hash of the part of the prompt that is the request's own; a repeat of the request has the same.
+    pub content: Option<u64>,
 }
 
 impl Prompt {
