gateway: a caller on a slow line is not given up; the soak says what a caller saw

Reading for it showed that callers' connections had the short limit for unacknowledged bytes that is meant for servers. Change: the limit is for servers only; records keep the error.

--- a/crates/gooseberry-bench/src/soak/callers.rs
+++ b/crates/gooseberry-bench/src/soak/callers.rs
@@ -45,8 +45,8 @@
     pub(crate) kind: Kind,
     /// The last event that the caller had.
     pub(crate) from: u64,
-    /// The answer; `None` if the connection ended or time ran out without one.
-    pub(crate) answer: Option<Answer>,
+    /// The answer, or why there was none.
+    pub(crate) answer: Result<Answer, String>,
     /// Whether the caller was ended while it waited.
     pub(crate) is_last: bool,
 }
@@ -111,7 +111,7 @@
             id,
             kind,
             from: if kind == Kind::Draft { from } else { 0 },
-            answer: ended.flatten(),
+            answer: ended.unwrap_or_else(|| Err("the soak ended".to_owned())),
             is_last,
         };
         records
@@ -132,10 +132,12 @@
     kind: Kind,
     id: &str,
     from: u64,
-) -> Option<Answer> {
+) -> Result<Answer, String> {
     let mut open = match link.take().filter(|l| !l.is_closed()) {
         Some(open) => open,
-        None => Link::open(addr, CONNECT).await.ok()?,
+        None => Link::open(addr, CONNECT)
+            .await
+            .map_err(|e| format!("no connection: {e}"))?,
     };
     let name: &'static str = kind.into();
     let path = format!("/{name}/a");
@@ -147,13 +149,17 @@
         caller::go_on(&mut request, from);
     }
     let work = async {
-        let response = open.send(request).await.ok()?;
-        Some(caller::read(response).await)
+        match open.send(request).await {
+            Ok(response) => Ok(caller::read(response).await),
+            Err(error) => Err(format!("{error:?}, used before: {}", open.is_used)),
+        }
     };
     let limit = Duration::from_millis(PATIENCE_MS + 1_000);
-    let answer = tokio::time::timeout(limit, work).await.ok()??;
+    let answer = tokio::time::timeout(limit, work)
+        .await
+        .map_err(|_| "no answer in time".to_owned())??;
     if answer.is_whole && answer.header("connection") != "close" {
         *link = Some(open);
     }
-    Some(answer)
+    Ok(answer)
 }
--- a/crates/gooseberry-bench/src/soak/judge.rs
+++ b/crates/gooseberry-bench/src/soak/judge.rs
@@ -29,8 +29,8 @@
     #[error("{id} was denied with {status}")]
     Denied { id: String, status: u16 },
     /// A request that was passed on got no whole answer although nothing failed.
-    #[error("{id} was cut under planned work only")]
-    Cut { id: String },
+    #[error("{id} was cut under planned work only: {cause}")]
+    Cut { id: String, cause: String },
     /// A request was not served although all faults are over.
     #[error("{id} was not served after the faults: {status:?}")]
     NotRecovered { id: String, status: Option<u16> },
@@ -55,13 +55,17 @@
                 runs,
             });
         }
-        let is_refused = record.answer.as_ref().is_some_and(|a| a.is_refusal());
+        let is_refused = record.answer.as_ref().is_ok_and(Answer::is_refusal);
         if record.kind == Kind::Once && is_refused && runs > 0 {
             findings.push(Finding::FalseRefusal { id: id.clone() });
         }
-        let is_cut = record.answer.as_ref().is_none_or(|a| !a.is_whole);
-        if is_planned && is_cut && runs > 0 && !record.is_last {
-            findings.push(Finding::Cut { id });
+        let cause = match &record.answer {
+            Ok(answer) if answer.is_whole => None,
+            Ok(answer) => Some(format!("{} and half a body", answer.status)),
+            Err(error) => Some(error.clone()),
+        };
+        if let Some(cause) = cause.filter(|_| is_planned && runs > 0 && !record.is_last) {
+            findings.push(Finding::Cut { id, cause });
         }
         findings.extend(judge_answer(record));
     }
@@ -70,7 +74,7 @@
 
 /// What is wrong with an answer by itself.
 fn judge_answer(record: &Record) -> Option<Finding> {
-    let answer = record.answer.as_ref()?;
+    let answer = record.answer.as_ref().ok()?;
     let id = record.id.clone();
     let status = answer.status.as_u16();
     if matches!(status, 400 | 401 | 403 | 404 | 413 | 431) {
@@ -99,9 +103,9 @@
                 let answer = ask(&mut None, gateway.front.addr, kind, &id, 0).await;
                 let is_served = answer
                     .as_ref()
-                    .is_some_and(|a| a.status.is_success() && a.is_whole);
+                    .is_ok_and(|a| a.status.is_success() && a.is_whole);
                 if !is_served {
-                    let status = answer.map(|a| a.status.as_u16());
+                    let status = answer.ok().map(|a| a.status.as_u16());
                     findings.push(Finding::NotRecovered { id, status });
                 }
             }
@@ -112,7 +116,10 @@
 
 /// How many requests ended how.
 pub(crate) fn summary(records: &[Record]) -> String {
-    let answers: Vec<&Answer> = records.iter().filter_map(|r| r.answer.as_ref()).collect();
+    let answers: Vec<&Answer> = records
+        .iter()
+        .filter_map(|r| r.answer.as_ref().ok())
+        .collect();
     let is_served = |a: &&&Answer| a.status.is_success() && a.is_whole;
     let served = answers.iter().filter(is_served).count();
     let refused = answers.iter().filter(|a| a.is_refusal()).count();
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -48,7 +48,7 @@
         let stream = tokio::time::timeout(limit.duration(), TcpStream::connect(addr))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        tune(&stream);
+        tune(&stream, Some(USER_TIMEOUT));
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -98,8 +98,9 @@
     }
 }
 
-/// Sets the options by which a silent peer is noticed.
-pub fn tune(stream: &TcpStream) {
+/// Sets the options by which a silent peer is noticed; `limit` is how long written bytes may stay
+/// unacknowledged, where that is to be shorter than the system's own limit.
+pub fn tune(stream: &TcpStream, limit: Option<Duration>) {
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
@@ -108,7 +109,7 @@
     let results = [
         stream.set_nodelay(true),
         socket.set_tcp_keepalive(&probes),
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+        limit.map_or(Ok(()), |l| socket.set_tcp_user_timeout(Some(l))),
     ];
     for error in results.into_iter().filter_map(Result::err) {
         tracing::warn!(%error, "a socket option is not available; losses are noticed later");
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -49,7 +49,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                link::tune(&stream);
+                // A caller on a slow line is not given up for that.
+                link::tune(&stream, None);
                 tokio::spawn(connection(Arc::clone(&ctx), stream));
             }
             Err(error) => {
