streams: a caller that holds all of its stream gets its end; events are heard when they come

Cause (read in the code): a stream continued behind its last event has no event, which counted as a broken answer and was repeated until the attempts were spent; a server counted as heard at the time at which the wait for its event began, up to 300 ms too early. Test: stream_resume::caller_holds_all, red before.

--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -165,13 +165,12 @@
             }
         };
         lease.started();
-        tracing::debug!(id = %job.call.id, first = ?event.id, "first event");
         let (parts, body) = opened.response.into_parts();
         let keeper = self.memory.copies.then(|| {
             let held = holder.map(|h| Held::followed(h, now));
             Keeper::start(&self.ctx, &self.job, self.memory, &lease, held)
         });
-        self.first = Some(event);
+        self.first = event;
         self.run = Some(Run {
             body,
             splitter,
@@ -228,7 +227,6 @@
         if let Some(event) = self.first.take() {
             return Ok(event);
         }
-        let now = self.ctx.now();
         let Some(run) = &mut self.run else {
             return Err(End::Lost(Outcome::Broken));
         };
@@ -237,7 +235,7 @@
             biased;
             event = next_event(&mut run.body, &mut run.splitter) => match event {
                 Ok(Some(event)) => {
-                    self.ctx.servers.heard(&run.lease.id, now);
+                    self.ctx.servers.heard(&run.lease.id, self.ctx.now());
                     Ok(event)
                 }
                 Ok(None) => Err(End::Whole),
@@ -402,24 +400,25 @@
 }
 
 /// Opens a stream and waits for its first event.
+///
+/// A caller that goes on with a stream may hold all of it already; the answer then has no event.
 async fn first_event(
     ctx: &Arc<Context>,
     job: &Job,
     lease: &Lease,
     extra: &Extra<'_>,
-) -> Result<(Opened, Splitter, Event), Outcome> {
+) -> Result<(Opened, Splitter, Option<Event>), Outcome> {
     let mut opened = send::open(ctx, job, lease, extra).await?;
     if !opened.head.status.is_success() {
         return Err(Outcome::Failed);
     }
     let mut splitter = Splitter::default();
-    match next_event(opened.response.body_mut(), &mut splitter).await? {
-        Some(event) => {
-            ctx.servers.heard(&lease.id, ctx.now());
-            Ok((opened, splitter, event))
-        }
-        None => Err(Outcome::Broken),
+    let event = next_event(opened.response.body_mut(), &mut splitter).await?;
+    ctx.servers.heard(&lease.id, ctx.now());
+    if event.is_none() && extra.last_event.is_none() {
+        return Err(Outcome::Broken);
     }
+    Ok((opened, splitter, event))
 }
 
 /// The next whole event of a body; `None` at its end.
--- a/crates/gooseberry-gateway/tests/stream_resume.rs
+++ b/crates/gooseberry-gateway/tests/stream_resume.rs
@@ -61,6 +61,18 @@
     assert_exact(&answer, "1", 9);
 }
 
+#[tokio::test]
+async fn caller_holds_all() {
+    let site = Site::start().await;
+    let mut request = generation("1", "/draft/a");
+    let last = "30".parse().unwrap();
+    request.headers_mut().insert("last-event-id", last);
+    let answer = site.ask(request).await;
+    assert_exact(&answer, "1", 30);
+    assert_eq!(answer.text(), "");
+    assert_eq!(site.shared.runs("1").len(), 1);
+}
+
 #[tokio::test]
 async fn rejected_everywhere() {
     let site = Site::start().await;
