balance: the test of told load follows the rule that was kept

Change: the test asserts the rule in force, that any difference in running requests decides, and the one thing that remains of the variant, that equals go to the first. As strict as before: the same cases and one more.

--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -151,9 +151,13 @@
         best(&[told(0, 9, 9_000), told(0, 1, 30_000)], 6_000, 55_000),
         Some(1)
     );
-    // A small difference does not outweigh that the first may hold the prompt.
     assert_eq!(
         best(&[told(0, 3, 9_000), told(0, 1, 3_000)], 6_000, 55_000),
+        Some(1)
+    );
+    // Among equals the first, which may hold the prompt, whatever its memory holds.
+    assert_eq!(
+        best(&[told(0, 1, 9_000), told(0, 1, 3_000)], 6_000, 55_000),
         Some(0)
     );
     assert_eq!(
