--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -56,7 +56,7 @@
 
 /// What a server has just said of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Told {
+pub struct LoadReport {
     /// Requests that wait or whose prompts are being read.
     pub waiting: u64,
     /// Requests that give output.
@@ -88,15 +88,15 @@
 ///
 /// Answers a fleet of many hosts, each of which sees little of a server's load: a few servers are
 /// asked, and the prompt goes where the fewest prompts wait; among equals, to the first.
-pub fn best(told: &[Option<Told>], needed: u64, capacity: u64) -> Option<usize> {
-    let order = |i: &usize| match told[*i] {
+pub fn best(reports: &[Option<LoadReport>], needed: u64, capacity: u64) -> Option<usize> {
+    let order = |i: &usize| match reports[*i] {
         Some(t) => {
             let is_full = capacity > 0 && t.used + needed > capacity;
             (false, is_full, t.waiting, t.running, *i)
         }
         None => (true, false, 0, 0, *i),
     };
-    (0..told.len()).min_by_key(order)
+    (0..reports.len()).min_by_key(order)
 }
 
 /// The index of the server to use, if there is any that is not left out.
--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -1,6 +1,6 @@
 //! Placement of prompts where the memory of engines is the limit.
 
-use balance::place::{Candidate, Load, Told, Wish, best, place, shortlist};
+use balance::place::{Candidate, Load, LoadReport, Wish, best, place, shortlist};
 
 fn candidate(server: &str) -> Candidate<'_> {
     Candidate {
@@ -137,7 +137,7 @@
 #[test]
 fn told_load_decides() {
     let told = |waiting, running, used| {
-        Some(Told {
+        Some(LoadReport {
             waiting,
             running,
             used,
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -39,7 +39,7 @@
     /// What the other hosts tell.
     gossip: Mutex<Gossip>,
     /// Wakes the sender of digests when there is something to tell at once.
-    pub news: Notify,
+    pub wake_gossip: Notify,
     /// The times that the users set.
     pub limits: Limits,
     /// The budget of a service of which nothing was asked yet.
@@ -58,7 +58,7 @@
             servers: Servers::default(),
             metrics: Metrics::default(),
             gossip: Mutex::new(gossip),
-            news: Notify::new(),
+            wake_gossip: Notify::new(),
             limits,
             fresh: budget,
             budgets: Mutex::default(),
@@ -82,7 +82,7 @@
         let now = self.now();
         let is_left = self.budget(job, |b| b.spend(now));
         if is_left {
-            self.news.notify_one();
+            self.wake_gossip.notify_one();
         } else {
             tracing::info!(id = %job.call.id, service = %job.plan.service, "no repeat left in the budget");
         }
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -170,7 +170,7 @@
 
     /// At most `limit` servers of the same service and data centre as `id` that are believed to be
     /// there but were neither heard nor asked within `recent`; they count as asked now.
-    pub fn beside(
+    pub fn neighbours(
         &self,
         id: &BackendId,
         now: Millis,
@@ -185,8 +185,8 @@
         let mut found = Vec::new();
         for (id, member) in fleet.roster.iter() {
             let entry = &member.entry;
-            let is_beside = entry.service == lost.service && entry.centre == lost.centre;
-            if !is_beside || !member.is_usable(now) || found.len() == limit {
+            let is_neighbour = entry.service == lost.service && entry.centre == lost.centre;
+            if !is_neighbour || !member.is_usable(now) || found.len() == limit {
                 continue;
             }
             let server = fleet.servers.entry(id.clone(), Server::default);
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -25,7 +25,7 @@
     loop {
         tokio::select! {
             () = ctx.timer.after(PERIOD) => {}
-            () = ctx.news.notified() => {}
+            () = ctx.wake_gossip.notified() => {}
         }
         send(&ctx, &socket, false).await;
         ctx.timer.after(LEAST).await;
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -29,7 +29,7 @@
 pub fn lost(ctx: &Arc<Context>, id: &BackendId) {
     let now = ctx.now();
     found_gone(ctx, id, now);
-    for (id, addr) in ctx.servers.beside(id, now, HEARD, MAX_ASKED) {
+    for (id, addr) in ctx.servers.neighbours(id, now, HEARD, MAX_ASKED) {
         let ctx = Arc::clone(ctx);
         tokio::spawn(async move {
             ask(&ctx, &id, addr, ASK_LIMIT).await;
@@ -41,7 +41,7 @@
 fn found_gone(ctx: &Context, id: &BackendId, now: Millis) {
     ctx.servers.lost(id, now);
     ctx.gossip().lost(now, short_hash(id));
-    ctx.news.notify_one();
+    ctx.wake_gossip.notify_one();
 }
 
 /// Whether a server is there: it was heard within `recent`, or accepts a connection within `limit`.
--- a/crates/gooseberry-gateway/src/probe.rs
+++ b/crates/gooseberry-gateway/src/probe.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balance::place::{Told, best};
+use balance::place::{LoadReport, best};
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -36,7 +36,7 @@
 }
 
 /// Asks one server; `None` if it does not answer.
-async fn ask(ctx: &Arc<Context>, id: &BackendId, prompt: u64) -> Option<Told> {
+async fn ask(ctx: &Arc<Context>, id: &BackendId, prompt: u64) -> Option<LoadReport> {
     let work = exchange(ctx, id);
     let report = match tokio::time::timeout(LIMIT.duration(), work).await {
         Ok(report) => report?,
@@ -47,7 +47,7 @@
     };
     // A report is some hundred milliseconds old; this host's own prompts may not be in it.
     let own = ctx.servers.prefill(id).div_ceil(prompt.max(1));
-    Some(Told {
+    Some(LoadReport {
         waiting: report.waiting.max(own),
         running: report.running,
         used: report.used,
