gateway: one way to a connection, one way to a whole answer, one end of an unanswered request

Three places took an idle connection or opened one, three sent a request and read the answer whole, calls and streams ended unanswered requests by copies of one match; the shared use of a retry budget was a type in two crates; the short hash of a name was written twice. Change: send::link, Link::fetch, Job::end with its messages as data, membership::gossip::Shared used by relay::Budget, base::hash::short. The registry's gauge is set under the lock already held. Behaviour, messages, bounds and assertions are as they were; one test names the type that remained.

--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -8,6 +8,11 @@
     xxh3_64(bytes)
 }
 
+/// A short name for `text` between hosts; of two texts that share one, neither may matter by itself.
+pub fn short(text: &str) -> u32 {
+    stable(text.as_bytes()) as u32
+}
+
 /// The rendezvous weight of `node` for `key`: the highest weight is preferred.
 pub fn rendezvous(key: &str, node: &str) -> u64 {
     xxh3_64_with_seed(node.as_bytes(), stable(key.as_bytes()))
--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -6,20 +6,25 @@
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use platform::answer::{self, Head};
 use relay::{Next, Outcome, Tries};
 
 use crate::context::Context;
-use crate::fleet::Want;
+use crate::fleet::{Lease, Want};
 use crate::reply::{self, Body};
-use crate::send::{self, Extra, Job, Opened};
+use crate::send::{self, Extra, Job, Opened, Unanswered};
 
 /// The largest answer that is held in memory, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// When a caller may come back whose request no server could take, in milliseconds.
-const RETRY_AFTER_MS: u64 = 300;
+/// What a caller is told whose call no server answered.
+const UNANSWERED: Unanswered = Unanswered {
+    refused: "no backend server could take the request; it has not run, come back later",
+    after_ms: 300,
+    timeout: "no answer came within the time limit; the request may have run",
+    lost: "the backend server was lost before its answer was whole; the request may have run",
+};
 
 /// A whole answer of a backend server.
 #[derive(Debug)]
@@ -43,7 +48,7 @@
             ..Want::default()
         };
         let Some(lease) = ctx.servers.place(ctx.now(), &want) else {
-            return end(ctx, job, tries.give_up(), "no_server");
+            return job.end(ctx, tries.give_up(), "no_server", &UNANSWERED);
         };
         let left = job.left(ctx.now()).duration();
         let sent = tokio::time::timeout(left, exchange(ctx, job, &lease)).await;
@@ -53,7 +58,7 @@
             Ok(Err(outcome)) => (outcome, None),
             Err(_) => {
                 ctx.metrics.sent(Outcome::Silent.into());
-                return end(ctx, job, Next::Unknown, "timeout");
+                return job.end(ctx, Next::Unknown, "timeout", &UNANSWERED);
             }
         };
         let route = &job.plan.route;
@@ -62,11 +67,11 @@
         match (next, answer) {
             (Next::Deliver, Some(answer)) => return deliver(ctx, job, answer, &lease.id),
             (Next::Resend, _) => avoid.push(lease.id.clone()),
-            (next, _) => return end(ctx, job, next, outcome.into()),
+            (next, _) => return job.end(ctx, next, outcome.into(), &UNANSWERED),
         }
         drop(lease);
         if outcome == Outcome::NotRun && !job.pause(ctx, &tries).await {
-            return end(ctx, job, tries.give_up(), outcome.into());
+            return job.end(ctx, tries.give_up(), outcome.into(), &UNANSWERED);
         }
     }
 }
@@ -77,11 +82,7 @@
 }
 
 /// Sends the request and reads the whole answer.
-async fn exchange(
-    ctx: &Arc<Context>,
-    job: &Job,
-    lease: &crate::fleet::Lease,
-) -> Result<Answer, Outcome> {
+async fn exchange(ctx: &Arc<Context>, job: &Job, lease: &Lease) -> Result<Answer, Outcome> {
     let opened = send::open(ctx, job, lease, &Extra::default()).await?;
     let Opened {
         response,
@@ -114,26 +115,3 @@
     job.ended(ctx, "answered", parts.status, Some(server));
     response
 }
-
-/// Answers a request that no server answered.
-fn end(ctx: &Context, job: &Job, next: Next, cause: &'static str) -> Response<Body> {
-    let response = match next {
-        Next::Refuse => reply::refused(
-            "no_capacity",
-            "no backend server could take the request; it has not run, come back later",
-            RETRY_AFTER_MS,
-        ),
-        _ if cause == "timeout" => reply::unknown(
-            StatusCode::GATEWAY_TIMEOUT,
-            "timeout",
-            "no answer came within the time limit; the request may have run",
-        ),
-        _ => reply::unknown(
-            StatusCode::BAD_GATEWAY,
-            "lost",
-            "the backend server was lost before its answer was whole; the request may have run",
-        ),
-    };
-    job.ended(ctx, cause, response.status(), None);
-    response
-}
--- a/crates/gooseberry-gateway/src/copies.rs
+++ b/crates/gooseberry-gateway/src/copies.rs
@@ -9,7 +9,7 @@
 use balance::place::Load;
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Uri};
 use platform::copies::{self, CopyError};
@@ -19,9 +19,8 @@
 
 use crate::context::Context;
 use crate::fleet::{Lease, Want};
-use crate::link::Link;
 use crate::liveness;
-use crate::send::Job;
+use crate::send::{self, Job};
 
 /// How often the server that holds a copy is checked.
 const CHECK: Millis = Millis(400);
@@ -280,25 +279,16 @@
     }
 
     async fn exchange(&self, to: SocketAddr) -> Result<String, CallError> {
-        let mut link = match self.ctx.servers.idle(&self.source, self.ctx.now()) {
-            Some(link) => link,
-            None => {
-                self.ctx.metrics.connected("copy");
-                let opened = Link::open(self.addr, CALL_LIMIT).await;
-                opened.map_err(|_| CallError::Unreachable)?
-            }
-        };
+        let opened = send::link(&self.ctx, &self.source, self.addr, CALL_LIMIT, "copy").await;
+        let mut link = opened.map_err(|_| CallError::Unreachable)?;
         let body = copies::body(&self.job.call.id, to);
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(copies::PATH);
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
-        let response = link.send(request).await;
-        let response = response.map_err(|_| CallError::Unreachable)?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_| CallError::Unreachable)?.to_bytes();
+        let answer = link.fetch(request).await;
+        let (status, body) = answer.map_err(|_| CallError::Unreachable)?;
         self.ctx
             .servers
             .keep(&self.source, link, self.ctx.now(), None);
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use balance::Health;
 use balance::place::{Candidate, Load, Wish, place, shortlist};
-use base::hash::stable;
+use base::hash::short;
 use base::prelude::*;
 use base::sorted::Sorted;
 use membership::Roster;
@@ -203,7 +203,10 @@
     pub fn doubt(&self, server: u32, at: Millis, now: Millis) {
         let mut guard = self.lock();
         let fleet = &mut *guard;
-        let named = fleet.roster.iter().find(|(id, _)| short_hash(id) == server);
+        let named = fleet
+            .roster
+            .iter()
+            .find(|(id, _)| short(id.as_str()) == server);
         let Some((id, _)) = named else { return };
         let held = fleet.servers.entry(id.clone(), Server::default);
         if held.heard < at {
@@ -350,11 +353,6 @@
     }
 }
 
-/// The short name of a server between hosts; two that share one are both doubted.
-pub fn short_hash(id: &BackendId) -> u32 {
-    stable(id.as_str().as_bytes()) as u32
-}
-
 fn plus(a: Load, b: Load) -> Load {
     Load {
         prefill: a.prefill + b.prefill,
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::hash::stable;
+use base::hash::short;
 use base::prelude::*;
 use membership::gossip::{Digest, Usage};
-use relay::Others;
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
@@ -64,20 +63,14 @@
     let gossip = ctx.gossip();
     let mut usage = Vec::new();
     for (name, budget) in ctx.budgets().iter_mut() {
-        let service = stable(name.as_str().as_bytes()) as u32;
+        let service = short(name.as_str());
         let (requests, repeats) = budget.used(now);
         usage.push(Usage {
             service,
             requests: u32::try_from(requests).unwrap_or(u32::MAX),
             repeats: u32::try_from(repeats).unwrap_or(u32::MAX),
         });
-        let shared = gossip.shared(now, service);
-        budget.exchanged(Others {
-            heard: shared.heard,
-            known: shared.known,
-            requests: shared.requests,
-            repeats: shared.repeats,
-        });
+        budget.exchanged(gossip.shared(now, service));
     }
     usage
 }
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -6,9 +6,9 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -86,6 +86,21 @@
         }
     }
 
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`]; an answer that breaks off is `Broken`.
+    pub async fn fetch(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        Ok((status, body.map_err(SendError::Broken)?.to_bytes()))
+    }
+
     /// Whether the peer has closed the connection.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use base::hash::short;
 use base::prelude::*;
 
 use crate::context::Context;
-use crate::fleet::short_hash;
 use crate::link::Link;
 use crate::probe;
 
@@ -40,7 +40,7 @@
 /// Leaves a server out and tells the other hosts.
 fn found_gone(ctx: &Context, id: &BackendId, now: Millis) {
     ctx.servers.lost(id, now);
-    ctx.gossip().lost(now, short_hash(id));
+    ctx.gossip().lost(now, short(id.as_str()));
     ctx.wake_gossip.notify_one();
 }
 
--- a/crates/gooseberry-gateway/src/probe.rs
+++ b/crates/gooseberry-gateway/src/probe.rs
@@ -6,14 +6,14 @@
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, Uri};
 use platform::report::{self, Report};
 
 use crate::context::Context;
 use crate::fleet::{Lease, Want};
 use crate::link::Link;
-use crate::liveness;
+use crate::{liveness, send};
 
 /// The servers that are asked for one placement.
 const ASKED: usize = 3;
@@ -55,23 +55,17 @@
 }
 
 async fn exchange(ctx: &Arc<Context>, id: &BackendId) -> Option<Report> {
-    let mut link = match ctx.servers.idle(id, ctx.now()) {
-        Some(link) => link,
-        None => {
-            ctx.metrics.connected("report");
-            let addr = ctx.servers.addr(id)?;
-            match Link::open(addr, LIMIT).await {
-                Ok(link) => link,
-                Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
-                    liveness::check(ctx, id);
-                    return None;
-                }
-                Err(error) => {
-                    tracing::info!(server = %id, %error, "server not reachable");
-                    liveness::lost(ctx, id);
-                    return None;
-                }
-            }
+    let addr = ctx.servers.addr(id)?;
+    let mut link = match send::link(ctx, id, addr, LIMIT, "report").await {
+        Ok(link) => link,
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+            liveness::check(ctx, id);
+            return None;
+        }
+        Err(error) => {
+            tracing::info!(server = %id, %error, "server not reachable");
+            liveness::lost(ctx, id);
+            return None;
         }
     };
     let report = report(&mut link).await?;
@@ -85,8 +79,6 @@
 pub async fn report(link: &mut Link) -> Option<Report> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(report::PATH);
-    let response = link.send(request).await.ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let (status, body) = link.fetch(request).await.ok()?;
     report::decode(status, &body)
 }
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -1,5 +1,6 @@
 //! One send of a caller's request to a backend server.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,16 +9,17 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use platform::answer::{self, Head};
 use platform::request::{self, Copy, Send};
-use relay::{Outcome, Tries};
+use relay::{Next, Outcome, Tries};
 use routing::{Call, Plan};
 
 use crate::context::{Context, InFlight};
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
 use crate::liveness;
+use crate::reply::{self, Body};
 
 /// The longest wait for a new connection; within a data centre it takes a few milliseconds.
 const CONNECT: Millis = Millis(250);
@@ -174,13 +176,9 @@
     })
 }
 
-/// An idle connection, or a new one.
+/// A connection for a send; a server that cannot be reached is left out.
 async fn connect(ctx: &Arc<Context>, lease: &Lease) -> Result<Link, Outcome> {
-    if let Some(link) = ctx.servers.idle(&lease.id, ctx.now()) {
-        return Ok(link);
-    }
-    ctx.metrics.connected("request");
-    match Link::open(lease.addr, CONNECT).await {
+    match link(ctx, &lease.id, lease.addr, CONNECT, "request").await {
         Ok(link) => Ok(link),
         Err(error) => {
             liveness::lost(ctx, &lease.id);
@@ -189,3 +187,56 @@
         }
     }
 }
+
+/// An idle connection to a server, or a new one, which is counted under `cause`.
+///
+/// # Errors
+///
+/// The system's error, or `TimedOut` after `limit`.
+pub async fn link(
+    ctx: &Context,
+    id: &BackendId,
+    addr: SocketAddr,
+    limit: Millis,
+    cause: &'static str,
+) -> io::Result<Link> {
+    if let Some(link) = ctx.servers.idle(id, ctx.now()) {
+        return Ok(link);
+    }
+    ctx.metrics.connected(cause);
+    Link::open(addr, limit).await
+}
+
+/// What a caller is told whose request no server answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Unanswered {
+    /// If it has not run.
+    pub refused: &'static str,
+    /// When the caller may come back then, in milliseconds.
+    pub after_ms: u64,
+    /// If time ran out.
+    pub timeout: &'static str,
+    /// If its server was lost.
+    pub lost: &'static str,
+}
+
+impl Job {
+    /// Answers a request that no server answered.
+    pub fn end(
+        &self,
+        ctx: &Context,
+        next: Next,
+        cause: &'static str,
+        told: &Unanswered,
+    ) -> Response<Body> {
+        let response = match next {
+            Next::Refuse => reply::refused("no_capacity", told.refused, told.after_ms),
+            _ if cause == "timeout" => {
+                reply::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout", told.timeout)
+            }
+            _ => reply::unknown(StatusCode::BAD_GATEWAY, "lost", told.lost),
+        };
+        self.ended(ctx, cause, response.status(), None);
+        response
+    }
+}
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -32,6 +32,9 @@
 /// The buffer for the head of a request, in bytes; the configuration's limit is checked besides.
 const HEAD_BUFFER: usize = 64 << 10;
 
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
 /// After this part of the grace, in percent, a stopping host starts no more streams.
 const STREAMS_UNTIL_PERCENT: u64 = 30;
 
@@ -56,7 +59,7 @@
             Err(error) => {
                 tracing::warn!(%error, "a caller's connection could not be accepted");
                 // Without descriptors, accepting again at once would only spin.
-                ctx.timer.after(Millis(20)).await;
+                ctx.timer.after(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/gooseberry-gateway/src/store.rs
+++ b/crates/gooseberry-gateway/src/store.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use platform::store::{self, Rows, StoreError, Table};
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::link::{Link, SendError};
+use crate::link::Link;
 
 /// The wait for a connection to the store.
 const CONNECT: Millis = Millis(500);
@@ -139,14 +139,9 @@
         if let Ok(host) = addr.to_string().parse() {
             headers.insert(HOST, host);
         }
-        let response = link.send(request).await.map_err(|e| match e {
-            SendError::Unsent | SendError::Broken(_) => CallError::Broken,
-        })?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_| CallError::Broken)?.to_bytes();
+        let answer = link.fetch(request).await.map_err(|_| CallError::Broken)?;
         self.link = Some(link);
-        Ok((status, body))
+        Ok(answer)
     }
 
     fn count<T>(&self, result: &Result<T, CallError>) {
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -22,11 +22,16 @@
 use crate::liveness;
 use crate::metrics::Cause;
 use crate::probe;
-use crate::reply::{self, Body, Cut};
-use crate::send::{self, Extra, Job, Opened};
+use crate::reply::{Body, Cut};
+use crate::send::{self, Extra, Job, Opened, Unanswered};
 
-/// When a caller may come back whose stream no server could take, in milliseconds.
-const RETRY_AFTER_MS: u64 = 500;
+/// What a caller is told whose stream gave no event.
+const UNANSWERED: Unanswered = Unanswered {
+    refused: "no backend server could take the stream; it has not run, come back later",
+    after_ms: 500,
+    timeout: "no event came within the time limit; ask again",
+    lost: "the stream was lost before its first event; ask again",
+};
 
 /// The silence between events after which a server is asked whether it is there.
 const ASK_AFTER: Millis = Millis(300);
@@ -338,25 +343,7 @@
 
     /// Answers a caller who got no event.
     fn end(&self, next: Next, cause: &'static str) -> Response<Body> {
-        let response = match next {
-            Next::Refuse => reply::refused(
-                "no_capacity",
-                "no backend server could take the stream; it has not run, come back later",
-                RETRY_AFTER_MS,
-            ),
-            _ if cause == "timeout" => reply::unknown(
-                StatusCode::GATEWAY_TIMEOUT,
-                "timeout",
-                "no event came within the time limit; ask again",
-            ),
-            _ => reply::unknown(
-                StatusCode::BAD_GATEWAY,
-                "lost",
-                "the stream was lost before its first event; ask again",
-            ),
-        };
-        self.job.ended(&self.ctx, cause, response.status(), None);
-        response
+        self.job.end(&self.ctx, next, cause, &UNANSWERED)
     }
 
     async fn place(&self) -> Option<Lease> {
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -178,36 +178,28 @@
 
     fn server(&self, row: &Row, now: Millis) {
         let id = BackendId::from(row.key.as_str());
-        let change = match row.value.as_deref().map(servers::decode) {
-            None => self
-                .ctx
-                .servers
-                .lock()
-                .roster
-                .remove(&id, row.revision, now),
-            Some(Ok(entry)) => {
-                let mut fleet = self.ctx.servers.lock();
-                let change = fleet.roster.put(id.clone(), entry, row.revision);
-                if change == Change::Restarted {
-                    fleet.restarted(&id);
-                }
-                change
-            }
+        let entry = match row.value.as_deref().map(servers::decode) {
+            None => None,
+            Some(Ok(entry)) => Some(entry),
             Some(Err(error)) => {
                 tracing::warn!(server = %id, revision = row.revision, %error, "row passed over");
-                self.ctx
-                    .servers
-                    .lock()
-                    .roster
-                    .remove(&id, row.revision, now)
+                None
             }
         };
+        let mut fleet = self.ctx.servers.lock();
+        let change = match entry {
+            Some(entry) => fleet.roster.put(id.clone(), entry, row.revision),
+            None => fleet.roster.remove(&id, row.revision, now),
+        };
+        if change == Change::Restarted {
+            fleet.restarted(&id);
+        }
+        self.ctx.metrics.servers.set(fleet.roster.len() as i64);
+        drop(fleet);
         if change != Change::None {
             let change: &'static str = change.into();
             tracing::info!(server = %id, revision = row.revision, change, "server changed");
         }
-        let listed = self.ctx.servers.lock().roster.len();
-        self.ctx.metrics.servers.set(listed as i64);
     }
 
     fn failed(&mut self, error: &CallError) {
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -5,6 +5,7 @@
 //! requests and its part of the fixed allowance, so that the sum holds without any message.
 
 use base::prelude::*;
+use membership::gossip::Shared;
 
 /// The parts into which a window is divided for counting.
 const PARTS: u64 = 10;
@@ -17,19 +18,6 @@
     repeats: u64,
 }
 
-/// What the other hosts have used within the window.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Others {
-    /// The hosts that were heard of lately, this one included.
-    pub heard: u64,
-    /// The hosts that are known, this one included.
-    pub known: u64,
-    /// The requests of the other hosts that were heard of.
-    pub requests: u64,
-    /// Their repeats.
-    pub repeats: u64,
-}
-
 /// Repeats allowed within a sliding window.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -39,7 +27,7 @@
     /// The repeats allowed besides to all hosts together, in each window.
     extra: u64,
     parts: Vec<Part>,
-    others: Others,
+    others: Shared,
     /// The repeats of this host since the last exchange.
     spent: u64,
 }
@@ -53,7 +41,7 @@
             permille,
             extra,
             parts: Vec::new(),
-            others: Others {
+            others: Shared {
                 heard: 1,
                 known: hosts.max(1),
                 requests: 0,
@@ -99,7 +87,7 @@
     }
 
     /// Takes in what the others have used; this host's own use was told to them.
-    pub fn exchanged(&mut self, others: Others) {
+    pub fn exchanged(&mut self, others: Shared) {
         self.others = others;
         self.spent = 0;
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod outcome;
 pub mod progress;
 
-pub use budget::{Budget, Others};
+pub use budget::Budget;
 pub use events::{Event, SplitError, Splitter};
 pub use outcome::{Next, Outcome, Tries};
 pub use progress::{Progress, Step};
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -1,9 +1,10 @@
 //! The retry budget of one host and of many.
 
 use base::prelude::*;
+use membership::gossip::Shared;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use relay::{Budget, Others};
+use relay::Budget;
 
 const WINDOW: Millis = Millis(10_000);
 
@@ -23,7 +24,7 @@
 #[test]
 fn silent_hosts_leave_their_part() {
     let mut budget = Budget::new(WINDOW, 0, 80, 16);
-    let alone = Others {
+    let alone = Shared {
         heard: 1,
         known: 8,
         requests: 0,
@@ -36,7 +37,7 @@
 #[test]
 fn share_between_exchanges() {
     let mut budget = Budget::new(WINDOW, 1_000, 0, 1);
-    let others = Others {
+    let others = Shared {
         heard: 10,
         known: 10,
         requests: 100,
@@ -90,7 +91,7 @@
     let hosts = budgets.len() as u64;
     let sums = used.iter().fold((0, 0), |(q, r), u| (q + u.0, r + u.1));
     for (budget, own) in budgets.iter_mut().zip(&used) {
-        budget.exchanged(Others {
+        budget.exchanged(Shared {
             heard: hosts,
             known: hosts,
             requests: sums.0 - own.0,
--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -18,12 +18,7 @@
 }
 
 impl Lines {
-    /// The lines dropped because the sink lagged.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.dropped_lines() as u64
-    }
-
-    /// The counter of dropped lines, to be read later.
+    /// Counts the lines dropped because the sink lagged.
     pub fn counter(&self) -> ErrorCounter {
         self.dropped.clone()
     }
