--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -75,7 +75,7 @@
             self.deliver();
             for i in 0..self.hosts.len() {
                 // Hosts do not tell at the same moment.
-                if self.hosts[i].is_up && (self.now.0 + 30 * i as u64) % PERIOD.0 == 0 {
+                if self.hosts[i].is_up && (self.now.0 + 30 * i as u64).is_multiple_of(PERIOD.0) {
                     let now = self.now;
                     let host = &mut self.hosts[i];
                     let mut messages = host.gossip.digest(now, vec![host.usage]);
