gateway: hosts take the changes of the store's tables from the hub of their data centre

Ruled out: longer pauses alone; a leaving server has 2 s, and the calls would still grow. Change: a hub, which has members, follows the tables with shorter waits and tells their changes by a call of `peer::host`; it tells nothing while the store does not answer it, so that the others ask the store at once. A host reads a table whole from the store. One that takes changes from another tells none, so that no two hosts wait for each other.

--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -12,6 +12,7 @@
 use timer::Timer;
 use tokio::sync::Notify;
 
+use crate::feed::Feeds;
 use crate::fleet::Servers;
 use crate::metrics::Metrics;
 use crate::send::Job;
@@ -38,6 +39,8 @@
     pub snapshot: ArcSwapOption<Snapshot>,
     /// The backend servers.
     pub servers: Servers,
+    /// What this host tells others of the store's tables.
+    pub feeds: Feeds,
     /// The metrics.
     pub metrics: Metrics,
     /// What the other hosts tell.
@@ -60,6 +63,7 @@
             timer,
             snapshot: ArcSwapOption::empty(),
             servers: Servers::default(),
+            feeds: Feeds::default(),
             metrics: Metrics::default(),
             gossip: Mutex::new(gossip),
             wake_gossip: Notify::new(),
--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod calls;
 pub mod context;
 pub mod copies;
+pub mod feed;
 pub mod fleet;
 pub mod gossip;
 pub mod hosts;
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::context::{Context, Limits};
 use crate::reply::{self, Body};
 use crate::store::Store;
-use crate::{gossip, hosts, serve, sync};
+use crate::{feed, gossip, hosts, serve, sync};
 
 /// The hosts among which the fixed part of the retry budget is divided until the others are known; the
 /// smallest deployment has 8.
@@ -120,7 +120,7 @@
     let (callers, callers_addr) = bind(settings.listen.callers).await?;
     let (ready, ready_addr) = bind(settings.listen.ready).await?;
     let (metrics, metrics_addr) = bind(settings.listen.metrics).await?;
-    let (socket, peers) = bind_datagrams(settings.listen.peers).await?;
+    let (peer_calls, socket, peers) = bind_peers(settings.listen.peers).await?;
     let listen = Listen {
         callers: callers_addr,
         ready: ready_addr,
@@ -148,6 +148,7 @@
     ));
     tasks.spawn(gossip::tell(Arc::clone(&ctx), Arc::clone(&socket)));
     tasks.spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
+    tasks.spawn(feed::serve(Arc::clone(&ctx), peer_calls));
     tasks.spawn(serve::accept(Arc::clone(&ctx), callers));
     tasks.spawn(answer(Arc::clone(&ctx), ready, readiness));
     let text = move |ctx: &Context| {
@@ -277,9 +278,12 @@
     Ok((listener, given))
 }
 
-async fn bind_datagrams(addr: SocketAddr) -> Result<(Arc<UdpSocket>, SocketAddr), RunError> {
-    let failed = |cause| RunError::Listen { addr, cause };
-    let socket = UdpSocket::bind(addr).await.map_err(failed)?;
-    let given = socket.local_addr().map_err(failed)?;
-    Ok((Arc::new(socket), given))
+/// Binds the same port for calls and for datagrams of other hosts.
+async fn bind_peers(
+    addr: SocketAddr,
+) -> Result<(TcpListener, Arc<UdpSocket>, SocketAddr), RunError> {
+    let (listener, given) = bind(addr).await?;
+    let failed = |cause| RunError::Listen { addr: given, cause };
+    let socket = UdpSocket::bind(given).await.map_err(failed)?;
+    Ok((listener, Arc::new(socket), given))
 }
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -1,13 +1,19 @@
 //! Keeps the configuration and the backend servers in step with the store.
+//!
+//! A table is read whole from the store. Its changes come from the hub of the data centre, so that the
+//! calls to the store do not grow with the number of hosts; or from the store, if this host is the hub or
+//! the hub does not tell them.
 
 use std::sync::Arc;
 
 use base::prelude::*;
 use membership::roster::Change;
+use peer::link::HostLink;
 use platform::store::{self, CONFIG_KEY, Row, Rows, StoreError, Table};
 use platform::{config, servers};
 
 use crate::context::Context;
+use crate::feed::Recent;
 use crate::store::{CallError, Store};
 
 /// How long the store holds a call open until something changes.
@@ -21,6 +27,18 @@
 /// of the time within which a leaving server must get no more requests, in percent.
 const GATHER_PERCENT: u64 = 45;
 
+/// The same three times for a host that others take changes from: a silent store is noticed, and the others
+/// ask it themselves, within the 2 s that the users give a leaving server and a configuration.
+const HUB_WAIT: Millis = Millis(500);
+const HUB_GATHER_PERCENT: u64 = 20;
+
+/// How long the hub holds a call open, and how long its answer may take beyond.
+const ASK_WAIT: Millis = Millis(500);
+const ASK_LIMIT: Millis = Millis(300);
+
+/// For how long the store is asked after the hub did not answer.
+const DIRECT: Millis = Millis(3_000);
+
 /// The pause after a call that failed; it doubles up to the second value.
 const PAUSE: (Millis, Millis) = (Millis(100), Millis(800));
 
@@ -32,6 +50,10 @@
     /// The revision up to which the table is known; `None` before it was read whole.
     revision: Option<u64>,
     is_lost: bool,
+    /// The link to the hub that was asked last.
+    hub: Option<HostLink>,
+    /// Until when the store is asked although there is a hub.
+    direct: Millis,
 }
 
 /// Follows a table for ever.
@@ -42,6 +64,8 @@
         store,
         revision: None,
         is_lost: false,
+        hub: None,
+        direct: Millis(0),
     };
     let mut pause = PAUSE.0;
     loop {
@@ -66,20 +90,68 @@
         match self.revision {
             None => self.read().await,
             Some(revision) => {
-                let path = store::watch_path(self.table, revision, WAIT);
-                let rows = self.store.rows(&path, WAIT + LIMIT).await?;
-                self.reached();
-                self.changes(&rows);
-                self.revision = Some(rows.revision.max(revision));
-                if !rows.rows.is_empty() {
-                    let gather = self.ctx.limits.leave.0 * GATHER_PERCENT / 100;
-                    self.ctx.timer.after(Millis(gather)).await;
+                if !self.ask_hub(revision).await {
+                    self.ask_store(revision).await?;
                 }
                 Ok(())
             }
         }
     }
 
+    /// Waits for changes at the store.
+    async fn ask_store(&mut self, revision: u64) -> Result<(), CallError> {
+        let (wait, gather) = if self.ctx.gossip().serves() {
+            (HUB_WAIT, HUB_GATHER_PERCENT)
+        } else {
+            (WAIT, GATHER_PERCENT)
+        };
+        let path = store::watch_path(self.table, revision, wait);
+        let rows = self.store.rows(&path, wait + LIMIT).await?;
+        self.reached();
+        self.changes(&rows, revision);
+        let add = |f: &mut Recent| f.add(&rows.rows, revision, rows.revision);
+        self.ctx.feeds.update(self.table, add);
+        if !rows.rows.is_empty() {
+            let gather = self.ctx.limits.leave.0 * gather / 100;
+            self.ctx.timer.after(Millis(gather)).await;
+        }
+        Ok(())
+    }
+
+    /// Waits for changes at the hub; returns whether it told them, or that there are none.
+    async fn ask_hub(&mut self, revision: u64) -> bool {
+        let now = self.ctx.now();
+        let addr = self.ctx.gossip().hub().map(|h| h.addr);
+        let Some(addr) = addr.filter(|_| now >= self.direct) else {
+            return false;
+        };
+        self.ctx.feeds.update(self.table, Recent::lost);
+        let hub = match self.hub.take() {
+            Some(hub) if hub.addr() == addr => hub,
+            _ => HostLink::new(addr),
+        };
+        let limit = (ASK_WAIT + ASK_LIMIT).duration();
+        let told = hub.changes(self.table, revision, ASK_WAIT, limit).await;
+        self.hub = Some(hub);
+        let table: &'static str = self.table.into();
+        match told {
+            Ok(Ok(rows)) => {
+                self.reached();
+                self.changes(&rows, revision);
+                true
+            }
+            Ok(Err(reason)) => {
+                tracing::debug!(table, %addr, %reason, "hub does not tell changes; the store is asked");
+                false
+            }
+            Err(error) => {
+                tracing::info!(table, %error, "hub does not answer; the store is asked for a while");
+                self.direct = self.ctx.now() + DIRECT;
+                false
+            }
+        }
+    }
+
     async fn read(&mut self) -> Result<(), CallError> {
         let mut all: Vec<Row> = Vec::new();
         let mut first = None;
@@ -94,6 +166,7 @@
             if is_last {
                 self.reached();
                 self.whole(&all, revision);
+                self.ctx.feeds.update(self.table, |f| f.read(revision));
                 self.revision = Some(revision);
                 return Ok(());
             }
@@ -126,11 +199,12 @@
         tracing::info!(table, revision, rows = rows.len(), "table read");
     }
 
-    fn changes(&self, rows: &Rows) {
+    fn changes(&mut self, rows: &Rows, since: u64) {
         let now = self.ctx.now();
         for row in &rows.rows {
             self.row(row, now);
         }
+        self.revision = Some(rows.revision.max(since));
     }
 
     fn row(&self, row: &Row, now: Millis) {
@@ -203,6 +277,7 @@
     }
 
     fn failed(&mut self, error: &CallError) {
+        self.ctx.feeds.update(self.table, Recent::lost);
         let table: &'static str = self.table.into();
         if !self.is_lost {
             self.is_lost = true;
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -39,6 +39,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    store_addr: SocketAddr,
     stop: CancellationToken,
     _guard: DropGuard,
 }
@@ -61,6 +62,7 @@
             callers: listen.callers,
             ready: listen.ready,
             metrics: listen.metrics,
+            store_addr,
             _guard: stop.clone().drop_guard(),
             stop,
         }
@@ -85,6 +87,13 @@
         site
     }
 
+    /// Starts another gateway in the same data centre.
+    pub(crate) async fn gateway(&self, host: &str) -> Gateway {
+        run::start(&settings(host, self.store_addr), || 0)
+            .await
+            .unwrap()
+    }
+
     /// Starts a backend server and lists it.
     pub(crate) async fn server(&self, id: &str, is_engine: bool, centre: &str) -> SocketAddr {
         let listener = listener().await;
@@ -133,8 +142,7 @@
     }
 
     pub(crate) fn version(&self) -> u64 {
-        let snapshot = self.gateway.ctx.snapshot.load();
-        snapshot.as_ref().map_or(0, |s| s.version.0)
+        version(&self.gateway)
     }
 
     pub(crate) fn listed(&self) -> usize {
@@ -179,6 +187,12 @@
     }
 }
 
+/// The version of the configuration that a gateway has in force.
+pub(crate) fn version(gateway: &Gateway) -> u64 {
+    let snapshot = gateway.ctx.snapshot.load();
+    snapshot.as_ref().map_or(0, |s| s.version.0)
+}
+
 /// Sends a request and reads the answer.
 pub(crate) async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Answer {
     let response = tokio::time::timeout(PATIENCE, link.send(request)).await;
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -224,7 +224,7 @@
     }
 
     /// The hub that serves this host, if it is another one.
-    fn hub(&self) -> Option<&Listed> {
+    pub fn hub(&self) -> Option<&Listed> {
         let own = order(&self.data_centre, &self.host);
         let mut here = self.here();
         here.find(|l| order(&l.data_centre, &l.host) < own && self.silent.get(&l.host).is_none())
@@ -239,6 +239,11 @@
         self.answer.as_ref().filter(|a| now.since(a.at) < FRESH)
     }
 
+    /// Whether other hosts take this one as their hub.
+    pub fn serves(&self) -> bool {
+        !self.members.is_empty()
+    }
+
     fn here(&self) -> impl Iterator<Item = &Listed> {
         let is_here = |l: &&Listed| l.data_centre == self.data_centre;
         self.listed.iter().filter(is_here)
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,7 @@
 //! This is the only crate that knows how messages travel between hosts.
 
 pub mod agent;
+pub mod host;
 pub mod link;
 pub mod operator;
 pub mod router;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -7,6 +7,7 @@
 use base::traffic;
 use journal::record::{Append, Refusal};
 use membership::Beat;
+use platform::store::{Rows, Table};
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
 use thiserror::Error;
@@ -17,6 +18,7 @@
 use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::agent::{About, AgentPeerClient, Ask, Changes, View};
+use crate::host::{HostPeerClient, Unserved};
 use crate::router::{RouterPeerClient, Sealed};
 
 /// The largest message between processes, in bytes.
@@ -174,6 +176,32 @@
     AgentPeerClient
 );
 
+link!(
+    /// A link to an entry host.
+    HostLink,
+    HostPeerClient
+);
+
+impl HostLink {
+    /// Waits up to `wait` for changes of a table behind the revision `since`.
+    ///
+    /// # Errors
+    ///
+    /// Any [`LinkError`].
+    pub async fn changes(
+        &self,
+        table: Table,
+        since: u64,
+        wait: Millis,
+        limit: Duration,
+    ) -> Result<Result<Rows, Unserved>, LinkError> {
+        self.call(limit, |c, ctx| async move {
+            c.changes(ctx, table, since, wait.0).await
+        })
+        .await
+    }
+}
+
 impl RouterLink {
     /// Adds tokens to journals at the peer.
     ///
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -4,6 +4,7 @@
 use futures_util::StreamExt;
 use journal::record::{Append, Refusal};
 use membership::Beat;
+use platform::store::{Rows, Table};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
@@ -11,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::{About, AgentPeer, Ask, Changes, View};
+use crate::host::{HostPeer, Unserved};
 use crate::link::{Frames, frames};
 use crate::router::{RouterPeer, Sealed};
 
@@ -96,6 +98,29 @@
     }
 }
 
+/// What an entry host does with the calls of the others.
+#[derive(Clone)]
+pub struct HostServer<C> {
+    /// Answers with the changes of a table.
+    pub changes: C,
+}
+
+impl<C, F> HostPeer for HostServer<C>
+where
+    C: Fn(Table, u64, Millis) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Rows, Unserved>> + Send + 'static,
+{
+    async fn changes(
+        self,
+        _: Context,
+        table: Table,
+        since: u64,
+        wait_ms: u64,
+    ) -> Result<Rows, Unserved> {
+        (self.changes)(table, since, Millis(wait_ms)).await
+    }
+}
+
 /// Serves the calls that a router takes until `stop` is cancelled.
 pub async fn router<A, S, C>(
     listener: TcpListener,
@@ -146,6 +171,22 @@
     .await;
 }
 
+/// Serves the calls that an entry host takes until `stop` is cancelled.
+pub async fn host<C, F>(listener: TcpListener, stop: CancellationToken, server: HostServer<C>)
+where
+    C: Fn(Table, u64, Millis) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Rows, Unserved>> + Send + 'static,
+{
+    accept(listener, stop, |stream| {
+        let transport = tarpc::serde_transport::new(stream, MessagePack::default());
+        let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| async move {
+            tokio::spawn(call);
+        }));
+    })
+    .await;
+}
+
 /// Takes connections and hands each to `run`.
 async fn accept(listener: TcpListener, stop: CancellationToken, run: impl Fn(Frames)) {
     loop {
