relay: repeats are earned by the requests of the window, of the one before, or of that between

Change: hosts count and tell requests in the three windows; the sums of each are compared. Test: `retry_budget::earned_in_the_window_before`; `sum_holds_over_hosts` as before. `earned_and_fixed_parts` expected nothing to be left of the window before; it now checks when it ends.

--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -75,17 +75,20 @@
     let mut usage = Vec::new();
     for (name, budget) in ctx.budgets().iter_mut() {
         budget.told();
-        let (requests, repeats) = budget.used(now);
         usage.push(Usage {
             service: short(name.as_str()),
-            requests: u32::try_from(requests).unwrap_or(u32::MAX),
-            repeats: u32::try_from(repeats).unwrap_or(u32::MAX),
+            requests: budget.requests(now).map(saturated),
+            repeats: saturated(budget.repeats(now)),
             waiting: u32::from(budget.waiting() > 0),
         });
     }
     usage
 }
 
+fn saturated(count: u64) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 /// Takes in what the others have told of their use.
 fn exchange(ctx: &Context, now: Millis) {
     let gossip = ctx.gossip();
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -36,13 +36,16 @@
 /// How long a lost server is told of.
 const TELL_LOST: Millis = Millis(1_500);
 
+/// The windows in which requests are counted: this one, that half a window before, and that before.
+pub const WINDOWS: usize = 3;
+
 /// The use of the retry budget of one service within the last window, by one host or by several.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     /// The hash of the service's name.
     pub service: u32,
-    /// The requests.
-    pub requests: u32,
+    /// The requests, in each of the windows.
+    pub requests: [u32; WINDOWS],
     /// The repeats.
     pub repeats: u32,
     /// The hosts with requests that wait for a repeat.
@@ -118,8 +121,8 @@
     pub heard: u64,
     /// The hosts that are known, this one included.
     pub known: u64,
-    /// The requests of the others.
-    pub requests: u64,
+    /// The requests of the others, in each of the windows.
+    pub requests: [u64; WINDOWS],
     /// The repeats of the others.
     pub repeats: u64,
     /// The hosts that have told of requests that wait for a repeat, this one included.
@@ -518,7 +521,7 @@
         Some(Shared {
             heard,
             known: known.max(heard),
-            requests: u64::from(usage.requests),
+            requests: usage.requests.map(u64::from),
             repeats: u64::from(usage.repeats),
             waiting: u64::from(usage.waiting) + u64::from(is_waiting),
             rank: is_waiting.then_some(u64::from(rank)),
@@ -585,7 +588,9 @@
                 service: one.service,
                 ..Usage::default()
             });
-            sum.requests += one.requests;
+            for (sum, one) in sum.requests.iter_mut().zip(one.requests) {
+                *sum += one;
+            }
             sum.repeats += one.repeats;
             sum.waiting += one.waiting;
         }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,4 +1,6 @@
-//! A bound on repeated sends, as a part of the requests seen lately.
+//! A bound on repeated sends, as a part of the requests seen lately: of those of the same window, of the one
+//! half a window before or of the one before, whichever had most. So a loss of callers does not take away
+//! the repeats that their lost requests need.
 //!
 //! The bound holds for all hosts together. Hosts tell each other what they have used; between two such
 //! exchanges each spends an equal share of what was left; what cannot be divided equally goes to hosts with
@@ -6,7 +8,7 @@
 //! of the fixed allowance, so that the sum holds without any message.
 
 use base::prelude::*;
-use membership::gossip::Shared;
+use membership::gossip::{Shared, WINDOWS};
 
 /// The parts into which a window is divided for counting.
 const PARTS: u64 = 10;
@@ -86,11 +88,12 @@
 
     /// The repeats that all hosts together may send within the window, and those that were sent.
     fn pool(&self, now: Millis) -> (u64, u64) {
-        let (requests, repeats) = self.used(now);
         let others = &self.others;
-        let earned = (requests + others.requests) * self.permille / 1_000;
+        let requests = self.requests(now).into_iter().zip(others.requests);
+        let most = requests.map(|(own, other)| own + other).max().unwrap_or(0);
+        let earned = most * self.permille / 1_000;
         let fixed = self.extra * others.heard / others.known;
-        (earned + fixed, repeats + others.repeats)
+        (earned + fixed, self.repeats(now) + others.repeats)
     }
 
     /// Whether the others are to be told of this host's use before the next regular exchange: half of its
@@ -129,11 +132,27 @@
         &self.others
     }
 
-    /// The requests and repeats of this host within the window.
-    pub fn used(&self, now: Millis) -> (u64, u64) {
-        let first = (self.number(now) + 1).saturating_sub(PARTS);
-        let lately = self.parts.iter().filter(|p| p.number >= first);
-        lately.fold((0, 0), |(q, r), p| (q + p.requests, r + p.repeats))
+    /// The requests of this host in each of the windows.
+    pub fn requests(&self, now: Millis) -> [u64; WINDOWS] {
+        let end = self.number(now) + 1;
+        [0, PARTS / 2, PARTS].map(|before| {
+            let parts = self.window(end.saturating_sub(before));
+            parts.map(|p| p.requests).sum()
+        })
+    }
+
+    /// The repeats of this host within the window.
+    pub fn repeats(&self, now: Millis) -> u64 {
+        let parts = self.window(self.number(now) + 1);
+        parts.map(|p| p.repeats).sum()
+    }
+
+    /// The parts of the window that ends before the part `end`.
+    fn window(&self, end: u64) -> impl Iterator<Item = &Part> {
+        let numbers = end.saturating_sub(PARTS)..end;
+        self.parts
+            .iter()
+            .filter(move |p| numbers.contains(&p.number))
     }
 
     /// This host's use is told to the others; [`Budget::exchanged`] follows when they have answered.
@@ -149,7 +168,7 @@
 
     fn part(&mut self, now: Millis) -> &mut Part {
         let number = self.number(now);
-        let first = (number + 1).saturating_sub(PARTS);
+        let first = (number + 1).saturating_sub(2 * PARTS);
         self.parts.retain(|p| p.number >= first);
         if self.parts.last().is_none_or(|p| p.number != number) {
             self.parts.push(Part {
