--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -463,7 +463,7 @@
         let ranks = usage.iter().map(|u| self.rank(host, u.service)).collect();
         let body = Body::Others {
             digest,
-            hosts: sums.hosts + 1,
+            hosts: sums.hosts.saturating_add(1),
             usage,
             ranks,
         };
@@ -503,7 +503,11 @@
         let (hosts, usage, rank) = if self.is_hub() {
             let sums = self.sums(Some(&self.host));
             let usage = sums.usage.get(&service).copied();
-            (sums.hosts + 1, usage, self.rank(&self.host, service))
+            (
+                sums.hosts.saturating_add(1),
+                usage,
+                self.rank(&self.host, service),
+            )
         } else {
             let Some(answer) = self.fresh(now) else {
                 return Some(Shared {
@@ -557,16 +561,17 @@
     fn rank(&self, host: &HostId, service: u32) -> u32 {
         let waiting = |usage: &[Usage]| {
             let of_service = usage.iter().filter(|u| u.service == service);
-            of_service.map(|u| u.waiting).sum::<u32>()
+            of_service.fold(0, |sum: u32, u| sum.saturating_add(u.waiting))
         };
         let hubs = self.hubs.iter().filter(|(h, _)| **h < self.host);
-        let mut rank: u32 = hubs.map(|(_, t)| waiting(&t.usage)).sum();
+        let rank = hubs.fold(0, |sum: u32, (_, t)| sum.saturating_add(waiting(&t.usage)));
         let served = self.members.iter().filter(|(h, _)| *h < host);
-        rank += served.map(|(_, t)| waiting(&t.usage)).sum::<u32>();
+        let rank = served.fold(rank, |sum, (_, t)| sum.saturating_add(waiting(&t.usage)));
         if self.host < *host && self.is_hub() {
-            rank += waiting(&self.told);
+            rank.saturating_add(waiting(&self.told))
+        } else {
+            rank
         }
-        rank
     }
 
     fn expire(&mut self, now: Millis) {
@@ -582,17 +587,18 @@
     }
 
     fn add_usage(&mut self, hosts: u32, usage: &[Usage]) {
-        self.hosts += hosts;
+        // Sums are bounded, since any datagram may come.
+        self.hosts = self.hosts.saturating_add(hosts);
         for one in usage {
             let sum = self.usage.entry(one.service, || Usage {
                 service: one.service,
                 ..Usage::default()
             });
             for (sum, one) in sum.requests.iter_mut().zip(one.requests) {
-                *sum += one;
+                *sum = sum.saturating_add(one);
             }
-            sum.repeats += one.repeats;
-            sum.waiting += one.waiting;
+            sum.repeats = sum.repeats.saturating_add(one.repeats);
+            sum.waiting = sum.waiting.saturating_add(one.waiting);
         }
     }
 }
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use membership::gossip::{Body, Gossip, Listed, Message, Shared, Usage};
+use membership::gossip::{Body, Gossip, Listed, Lost, Message, Shared, Usage};
 
 /// The time between two digests of a host, and between two looks at what has arrived.
 const PERIOD: Millis = Millis(500);
@@ -302,3 +302,33 @@
     gossip.heard(Millis(2), addr(1), &centre(1, 2, 0));
     assert_eq!(repeats(&gossip), Some(0), "the host started anew");
 }
+
+#[test]
+fn absurd_counts() {
+    let message = |host: &str| Message {
+        host: HostId::from(host),
+        incarnation: Incarnation(1),
+        seq: u64::MAX,
+        leaves: false,
+        lost: vec![Lost {
+            server: 1,
+            age: u32::MAX,
+        }],
+        body: Body::Centre {
+            hosts: u32::MAX,
+            usage: vec![Usage {
+                service: 1,
+                requests: [u32::MAX; 3],
+                repeats: u32::MAX,
+                waiting: u32::MAX,
+            }],
+        },
+    };
+    let mut gossip = Gossip::new(HostId::from("own"), DataCentre::from("dc"), Incarnation(1));
+    gossip.listed(Vec::new());
+    for host in ["a", "b"] {
+        gossip.heard(Millis(0), addr(1), &message(host));
+    }
+    let shared = gossip.shared(Millis(1), 1).expect("the list was read");
+    assert_eq!(shared.repeats, u64::from(u32::MAX));
+}
