gateway: a silent server is asked 300 ms after anything was last heard of it

Change: the next look is 300 ms after the server was last heard, in whatever way. Test: `stream_resume::silence_of_the_server_counts`.

--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -429,16 +429,23 @@
 
 /// Waits until the server of a stream without events since `heard` is found to be gone.
 async fn silent(ctx: &Context, id: &BackendId, heard: Millis) {
-    let mut at = heard + ASK_AFTER;
     loop {
-        ctx.timer.at(at).await;
+        // Another stream of the server may have had events meanwhile.
+        ctx.timer
+            .at(ask_at(heard, ctx.servers.last_heard(id)))
+            .await;
         if !liveness::is_there(ctx, id, ASK_AFTER, ASK_LIMIT).await {
             return;
         }
-        at = ctx.now() + ASK_AFTER;
     }
 }
 
+/// When a server is asked whether it is there, of a stream whose last event came at `event` and that
+/// itself was heard last at `server`, in whatever way.
+pub fn ask_at(event: Millis, server: Millis) -> Millis {
+    event.max(server) + ASK_AFTER
+}
+
 /// What the request needs of the engines' memory.
 fn memory(ctx: &Context, job: &Job) -> Memory {
     let snapshot = ctx.snapshot.load();
--- a/crates/gooseberry-gateway/tests/stream_resume.rs
+++ b/crates/gooseberry-gateway/tests/stream_resume.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use base::prelude::*;
+use gooseberry_gateway::streams::ask_at;
 use hyper::StatusCode;
 use site::{Answer, Site, events, generation};
 
@@ -51,6 +53,18 @@
     assert_eq!(site.shared.runs("1").len(), 2);
 }
 
+/// Two streams of a server that falls silent at 1,000: one had its last event then, the other before.
+#[test]
+fn silence_of_the_server_counts() {
+    assert_eq!(ask_at(Millis(1_000), Millis(1_000)), Millis(1_300));
+    let (first, again) = (
+        ask_at(Millis(760), Millis(760)),
+        ask_at(Millis(760), Millis(1_000)),
+    );
+    assert!(first > Millis(1_000), "the server has been heard since");
+    assert_eq!(again, Millis(1_300), "not 300 ms after the first look");
+}
+
 #[tokio::test]
 async fn continued_by_caller() {
     let site = Site::start().await;
