balance: room is left for the generations that run and wait at an engine; others are asked while none has it

Change: half of the output of those that run and the whole of those that wait are left free; while none of three engines asked has room, three more are asked, at most nine. Tests: `prompt_placement::room_for_those_that_run`.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -84,16 +84,42 @@
     found
 }
 
+/// The memory that a generation needs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Tokens of memory, with its output.
+    pub memory: u64,
+    /// Tokens of output.
+    pub output: u64,
+    /// The tokens that a server's memory holds; 0 for a plain service.
+    pub capacity: u64,
+}
+
+impl Need {
+    /// Whether a server has room until the generation ends: for those that wait there as well, and for what
+    /// those that run have yet to give, half of their output each, if all are of this size.
+    fn fits(&self, told: &LoadReport) -> bool {
+        let growth = told.waiting * self.memory + told.running * self.output / 2;
+        self.capacity == 0 || told.used + growth + self.memory <= self.capacity
+    }
+
+    /// Whether one of the servers that were asked has room.
+    ///
+    /// Answers the load that is left to few servers when others are lost: where the first that were asked
+    /// are full, a generation would interrupt another one, or be interrupted itself, and its prompt be read
+    /// again.
+    pub fn fits_any(&self, reports: &[Option<LoadReport>]) -> bool {
+        reports.iter().flatten().any(|t| self.fits(t))
+    }
+}
+
 /// The index of the best of servers that were asked; those that did not answer come last.
 ///
 /// Answers a fleet of many hosts, each of which sees little of a server's load: a few servers are
 /// asked, and the prompt goes where the fewest prompts wait; among equals, to the first.
-pub fn best(reports: &[Option<LoadReport>], needed: u64, capacity: u64) -> Option<usize> {
+pub fn best(reports: &[Option<LoadReport>], need: &Need) -> Option<usize> {
     let order = |i: &usize| match reports[*i] {
-        Some(t) => {
-            let is_full = capacity > 0 && t.used + needed > capacity;
-            (false, is_full, t.waiting, t.running, *i)
-        }
+        Some(t) => (false, !need.fits(&t), t.waiting, t.running, *i),
         None => (true, false, 0, 0, *i),
     };
     (0..reports.len()).min_by_key(order)
--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -1,6 +1,6 @@
 //! Placement of prompts where the memory of engines is the limit.
 
-use balance::place::{Candidate, Load, LoadReport, Wish, best, place, shortlist};
+use balance::place::{Candidate, Load, LoadReport, Need, Wish, best, place, shortlist};
 
 fn candidate(server: &str) -> Candidate<'_> {
     Candidate {
@@ -134,6 +134,12 @@
     assert_eq!(shortlist(&fewer, &wish(7, 1), 4), list[1..]);
 }
 
+const NEED: Need = Need {
+    memory: 6_000,
+    output: 1_000,
+    capacity: 55_000,
+};
+
 #[test]
 fn told_load_decides() {
     let told = |waiting, running, used| {
@@ -144,26 +150,50 @@
         })
     };
     assert_eq!(
-        best(&[told(1, 1, 9_000), told(0, 6, 30_000)], 6_000, 55_000),
+        best(&[told(1, 1, 9_000), told(0, 6, 30_000)], &NEED),
         Some(1)
     );
     assert_eq!(
-        best(&[told(0, 9, 9_000), told(0, 1, 30_000)], 6_000, 55_000),
+        best(&[told(0, 9, 9_000), told(0, 1, 30_000)], &NEED),
         Some(1)
     );
     assert_eq!(
-        best(&[told(0, 3, 9_000), told(0, 1, 3_000)], 6_000, 55_000),
+        best(&[told(0, 3, 9_000), told(0, 1, 3_000)], &NEED),
         Some(1)
     );
     // Among equals the first, which may hold the prompt, whatever its memory holds.
     assert_eq!(
-        best(&[told(0, 1, 9_000), told(0, 1, 3_000)], 6_000, 55_000),
+        best(&[told(0, 1, 9_000), told(0, 1, 3_000)], &NEED),
         Some(0)
     );
     assert_eq!(
-        best(&[told(0, 0, 52_000), told(2, 3, 9_000)], 6_000, 55_000),
+        best(&[told(0, 0, 52_000), told(2, 3, 9_000)], &NEED),
         Some(1)
     );
-    assert_eq!(best(&[None, told(5, 9, 54_000)], 6_000, 55_000), Some(1));
-    assert_eq!(best(&[None, None], 6_000, 55_000), Some(0));
+    assert_eq!(best(&[None, told(5, 9, 54_000)], &NEED), Some(1));
+    assert_eq!(best(&[None, None], &NEED), Some(0));
+}
+
+/// Servers on which others have yet to grow: without room for that, one is interrupted and read again.
+#[test]
+fn room_for_those_that_run() {
+    let told = |waiting, running, used| {
+        Some(LoadReport {
+            waiting,
+            running,
+            used,
+        })
+    };
+    let (grows, waits, fits) = (told(0, 9, 46_000), told(1, 0, 44_000), told(0, 5, 46_000));
+    assert!(!NEED.fits_any(&[grows, waits, None]));
+    assert!(NEED.fits_any(&[grows, fits]));
+    assert_eq!(best(&[grows, told(1, 2, 20_000)], &NEED), Some(1));
+    let plain = Need {
+        capacity: 0,
+        ..NEED
+    };
+    assert!(
+        plain.fits_any(&[grows]),
+        "a plain service has no such bound"
+    );
 }
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use balance::Health;
-use balance::place::{Candidate, Load, Wish, place, shortlist};
+use balance::place::{Candidate, Load, Need, Wish, place, shortlist};
 use base::hash::short;
 use base::prelude::*;
 use base::sorted::Sorted;
@@ -84,6 +84,17 @@
     pub content: Option<u64>,
 }
 
+impl Want<'_> {
+    /// The memory that a generation needs, whose prompt is to be read.
+    pub fn need(&self) -> Need {
+        Need {
+            memory: self.load.memory,
+            output: self.load.memory.saturating_sub(self.load.prefill),
+            capacity: self.capacity,
+        }
+    }
+}
+
 impl Servers {
     /// The fleet, to be read or changed without waiting.
     pub fn lock(&self) -> MutexGuard<'_, Fleet> {
--- a/crates/gooseberry-gateway/src/probe.rs
+++ b/crates/gooseberry-gateway/src/probe.rs
@@ -15,21 +15,29 @@
 use crate::link::Link;
 use crate::{liveness, send};
 
-/// The servers that are asked for one placement.
+/// The servers that are asked at once for one placement.
 const ASKED: usize = 3;
 
+/// How often others are asked while none has room.
+const ROUNDS: usize = 3;
+
 /// How long an engine may take to answer; within a region it takes a few milliseconds.
 const LIMIT: Millis = Millis(60);
 
 /// Chooses a server for a prompt: asks a few, and takes the one where the fewest prompts wait.
 pub async fn place(ctx: &Arc<Context>, want: &Want<'_>) -> Option<Lease> {
-    let ids = ctx.servers.shortlist(ctx.now(), want, ASKED);
+    let ids = ctx.servers.shortlist(ctx.now(), want, ASKED * ROUNDS);
     if ids.len() < 2 {
         return ctx.servers.place(ctx.now(), want);
     }
-    let told = join_all(ids.iter().map(|id| ask(ctx, id, want.load.prefill))).await;
-    let needed = want.load.memory;
-    let chosen = best(&told, needed, want.capacity)?;
+    let mut told = Vec::with_capacity(ids.len());
+    for round in ids.chunks(ASKED) {
+        told.extend(join_all(round.iter().map(|id| ask(ctx, id, want.load.prefill))).await);
+        if want.need().fits_any(&told) {
+            break;
+        }
+    }
+    let chosen = best(&told, &want.need())?;
     tracing::debug!(server = %ids[chosen], ?told, "engines asked");
     let lease = ctx.servers.take(ctx.now(), &ids[chosen], want.load);
     lease.or_else(|| ctx.servers.place(ctx.now(), want))
