--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -98,6 +98,7 @@
             let now = self.now();
             let waited = now.since(since);
             if self.spend(job, now) {
+                self.metrics.repeat_wait("repeated");
                 tracing::info!(
                     id = %job.call.id, service = %job.plan.service, waited_ms = waited.0,
                     "waited for a repeat"
@@ -105,6 +106,7 @@
                 return true;
             }
             if waited >= limit {
+                self.metrics.repeat_wait("in_vain");
                 self.refused(job, now, waited);
                 return false;
             }
--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -47,6 +47,10 @@
     pub connections: Family<Cause, Counter>,
     /// Calls to the store by outcome.
     pub store_calls: Family<Cause, Counter>,
+    /// Calls to the hub of the data centre for changes of a table, by outcome.
+    pub hub_calls: Family<Cause, Counter>,
+    /// Waits for a repeat of the retry budget, by how they ended.
+    pub repeat_waits: Family<Cause, Counter>,
     /// Time to the whole answer of a call or the first event of a stream, by kind of route.
     pub latency: Histograms,
     /// Silence at the caller's end when a stream goes on at another server.
@@ -70,6 +74,8 @@
             resumes: Family::default(),
             connections: Family::default(),
             store_calls: Family::default(),
+            hub_calls: Family::default(),
+            repeat_waits: Family::default(),
             latency: Family::new_with_constructor(histogram),
             resume_gap: Family::new_with_constructor(histogram),
             in_flight: Gauge::default(),
@@ -102,6 +108,12 @@
             "Calls to the store",
             self.store_calls.clone(),
         );
+        r.register("hub_calls", "Calls to the hub", self.hub_calls.clone());
+        r.register(
+            "repeat_waits",
+            "Requests that waited for a repeat",
+            self.repeat_waits.clone(),
+        );
         r.register(
             "latency_seconds",
             "Time to the answer or its first event",
@@ -145,6 +157,16 @@
     pub fn store_call(&self, cause: &'static str) {
         self.store_calls.get_or_create(&Cause { cause }).inc();
     }
+
+    /// Counts a call to the hub.
+    pub fn hub_call(&self, cause: &'static str) {
+        self.hub_calls.get_or_create(&Cause { cause }).inc();
+    }
+
+    /// Counts a wait for a repeat.
+    pub fn repeat_wait(&self, cause: &'static str) {
+        self.repeat_waits.get_or_create(&Cause { cause }).inc();
+    }
 }
 
 fn histogram() -> Histogram {
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -54,6 +54,8 @@
     hub: Option<HostLink>,
     /// Until when the store is asked although there is a hub.
     direct: Millis,
+    /// Whether the changes come from the hub.
+    is_served: bool,
 }
 
 /// Follows a table for ever.
@@ -66,6 +68,7 @@
         is_lost: false,
         hub: None,
         direct: Millis(0),
+        is_served: false,
     };
     let mut pause = PAUSE.0;
     loop {
@@ -108,6 +111,7 @@
         let path = store::watch_path(self.table, revision, wait);
         let rows = self.store.rows(&path, wait + LIMIT).await?;
         self.reached();
+        self.source(false);
         self.changes(&rows, revision);
         let add = |f: &mut Recent| f.add(&rows.rows, revision, rows.revision);
         self.ctx.feeds.update(self.table, add);
@@ -136,15 +140,19 @@
         let table: &'static str = self.table.into();
         match told {
             Ok(Ok(rows)) => {
+                self.ctx.metrics.hub_call("answered");
                 self.reached();
+                self.source(true);
                 self.changes(&rows, revision);
                 true
             }
             Ok(Err(reason)) => {
+                self.ctx.metrics.hub_call(reason.into());
                 tracing::debug!(table, %addr, %reason, "hub does not tell changes; the store is asked");
                 false
             }
             Err(error) => {
+                self.ctx.metrics.hub_call("silent");
                 tracing::info!(table, %error, "hub does not answer; the store is asked for a while");
                 self.direct = self.ctx.now() + DIRECT;
                 false
@@ -152,6 +160,21 @@
         }
     }
 
+    /// Notes where the changes come from.
+    fn source(&mut self, is_served: bool) {
+        if std::mem::replace(&mut self.is_served, is_served) != is_served {
+            let table: &'static str = self.table.into();
+            let source = if is_served { "hub" } else { "store" };
+            let revision = self.revision.unwrap_or(0);
+            tracing::info!(
+                table,
+                source,
+                revision,
+                "changes of a table come from elsewhere"
+            );
+        }
+    }
+
     async fn read(&mut self) -> Result<(), CallError> {
         let mut all: Vec<Row> = Vec::new();
         let mut first = None;
--- a/crates/peer/src/host.rs
+++ b/crates/peer/src/host.rs
@@ -2,10 +2,10 @@
 
 use platform::store::{Rows, Table};
 use serde::{Deserialize, Serialize};
-use strum::Display;
+use strum::{Display, IntoStaticStr};
 
 /// Why a host does not tell the changes of a table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Unserved {
     /// It does not follow the table at the store, or cannot reach it.
