gateway: a stopping hub hands its part on when it is told to stop

Change: a host that stops takes leave at once and once more when it ends; between the two it answers no digest and no call for changes, so that the others take the next hub. Test: `host_digests::stopping_hub_is_left_at_once`, now with the stopping hub running on.

--- a/crates/gooseberry-gateway/src/feed.rs
+++ b/crates/gooseberry-gateway/src/feed.rs
@@ -151,6 +151,9 @@
     let end = ctx.timer.after(wait);
     tokio::pin!(end);
     loop {
+        if ctx.stopped().is_some() {
+            return Err(Unserved::Away);
+        }
         let rows = feed.borrow_and_update().since(since)?;
         if !rows.rows.is_empty() {
             return Ok(rows);
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -179,6 +179,8 @@
         let grace = self.ctx.limits.grace;
         let in_flight = self.ctx.metrics.in_flight.get();
         tracing::info!(in_flight, grace_ms = grace.0, "stop: no longer ready");
+        // Others take another hub while this one still runs.
+        gossip::leave(&self.ctx, &self.socket).await;
         if let Err(error) = hosts::leave(&mut self.store, &self.host).await {
             tracing::info!(%error, "the row of this host was not removed");
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -200,6 +200,8 @@
     told: Vec<Usage>,
     /// Whether the list of hosts was read.
     is_listed: bool,
+    /// Whether this host stops and serves no other any more.
+    is_leaving: bool,
 }
 
 impl Gossip {
@@ -343,7 +345,7 @@
         addrs.into_iter().map(|a| (a, message.clone())).collect()
     }
 
-    /// What a stopping host tells those that count on it.
+    /// What a stopping host tells those that count on it; from now on it serves no other host.
     pub fn leave(&mut self, now: Millis) -> Vec<(SocketAddr, Message)> {
         self.has_lost = true;
         let mut messages = self.centre(now);
@@ -352,6 +354,8 @@
         for (_, message) in &mut messages {
             message.leaves = true;
         }
+        self.is_leaving = true;
+        self.members = Sorted::default();
         messages
     }
 
@@ -391,6 +395,7 @@
         };
         let mut heard = Heard::default();
         match &message.body {
+            Body::Digest(_) if self.is_leaving => return heard,
             Body::Digest(usage) => {
                 let before = self.members.get(&message.host).map(|t| t.usage.clone());
                 if !put(&mut self.members, &message.host, told(1, usage)) {
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -117,11 +117,13 @@
             .expect("the list was read")
     }
 
-    /// The hub of a data centre.
+    /// The host of a data centre that is the hub of others, or has none itself.
     fn hub(&self, centre: usize) -> usize {
         let data_centre = DataCentre::from(format!("dc-{centre}").as_str());
         let is_hub = |h: &Host| h.data_centre == data_centre && h.is_up && h.gossip.is_hub();
-        self.hosts.iter().position(is_hub).expect("a hub")
+        let hubs = || (0..self.hosts.len()).filter(|i| is_hub(&self.hosts[*i]));
+        let serving = hubs().find(|i| self.hosts[*i].gossip.serves());
+        serving.or_else(|| hubs().next()).expect("a hub")
     }
 
     /// Whether every host that is up and not cut off has the sums over `count` others.
@@ -206,9 +208,17 @@
     let now = net.now;
     let messages = net.hosts[hub].gossip.leave(now);
     net.send(hub, messages);
+    net.run(Millis(1_000));
+    let next = net.hub(2);
+    assert_ne!(next, hub, "the next takes over while the other still runs");
+    net.run(Millis(6_000));
+    net.assert_sums(8);
+    assert_eq!(net.hub(2), next, "and keeps it");
+    let now = net.now;
+    let messages = net.hosts[hub].gossip.leave(now);
+    net.send(hub, messages);
     net.run(Millis(10));
     net.hosts[hub].is_up = false;
-    assert_ne!(net.hub(2), hub);
     net.run(Millis(2_000));
     net.assert_sums(7);
 }
