gateway: the copy of a run lies in the host's own data centre, unless the run does

Change: of run and copy one lies in the data centre of the host that holds the caller, while it has room there. Ruled out: to ask the holder before each resume, which is as late. Test: `prompt_placement::copies_in_the_hosts_own_centre`.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -48,6 +48,8 @@
     pub avoid: &'a [&'a str],
     /// A data centre that is taken only if there is no other.
     pub avoid_centre: Option<&'a str>,
+    /// A data centre whose servers are taken before others, if they have room.
+    pub prefer_centre: Option<&'a str>,
     /// A number that spreads equal choices, drawn at random.
     pub spread: u64,
     /// A hash of the prompt that is the same for each repeat of the request.
@@ -133,7 +135,7 @@
 }
 
 /// What makes one server better than another; the least is the best.
-type Order = (bool, bool, bool, bool, u64, u64, u64, u64);
+type Order = (bool, bool, bool, bool, bool, u64, u64, u64, u64);
 
 fn order(candidates: &[Candidate<'_>], wish: &Wish<'_>, i: usize) -> Order {
     let c = &candidates[i];
@@ -143,6 +145,7 @@
         c.is_doubtful,
         wish.avoid_centre == Some(c.centre),
         c.capacity > 0 && used + wish.memory > c.capacity,
+        wish.prefer_centre.is_some_and(|centre| centre != c.centre),
         c.load.prefill,
         used,
         c.load.running,
--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -97,6 +97,42 @@
     assert_eq!(place(&candidates, &wish), Some(1));
 }
 
+/// The run is in a, the host in b: when b is cut off, the copy there is what the host has left.
+#[test]
+fn copies_in_the_hosts_own_centre() {
+    let own = |memory| Candidate {
+        centre: "b",
+        ..busy(
+            "own",
+            Load {
+                memory,
+                ..Load::default()
+            },
+        )
+    };
+    let third = Candidate {
+        centre: "c",
+        ..candidate("third")
+    };
+    let wish = Wish {
+        memory: 6_000,
+        avoid_centre: Some("a"),
+        prefer_centre: Some("b"),
+        ..Wish::default()
+    };
+    let chosen = |own| place(&[candidate("near"), own, third], &wish);
+    assert_eq!(chosen(own(30_000)), Some(1));
+    assert_eq!(chosen(own(45_000)), Some(2), "it has no room");
+    let at_home = Wish {
+        avoid_centre: Some("b"),
+        ..wish
+    };
+    assert_ne!(
+        place(&[candidate("near"), own(0), third], &at_home),
+        Some(1)
+    );
+}
+
 #[test]
 fn equal_choices_are_spread() {
     let candidates = ["a", "b", "c", "d"].map(candidate);
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -33,6 +33,8 @@
 /// What the requests of a host share.
 #[derive(Debug)]
 pub struct Context {
+    /// The data centre of this host.
+    pub data_centre: DataCentre,
     /// The clock.
     pub timer: Timer,
     /// The configuration in force, if one was read.
@@ -58,8 +60,15 @@
 
 impl Context {
     /// The context of a process that has just started.
-    pub fn new(timer: Timer, limits: Limits, budget: Budget, gossip: Gossip) -> Self {
+    pub fn new(
+        data_centre: DataCentre,
+        timer: Timer,
+        limits: Limits,
+        budget: Budget,
+        gossip: Gossip,
+    ) -> Self {
         Self {
+            data_centre,
             timer,
             snapshot: ArcSwapOption::empty(),
             servers: Servers::default(),
--- a/crates/gooseberry-gateway/src/copies.rs
+++ b/crates/gooseberry-gateway/src/copies.rs
@@ -140,7 +140,8 @@
     None
 }
 
-/// Chooses a server in another data centre for a copy of a run at `centre`.
+/// Chooses a server in another data centre for a copy of a run at `centre`: in this host's own, unless the
+/// run is there.
 pub fn place(
     ctx: &Context,
     job: &Job,
@@ -157,6 +158,8 @@
         capacity: memory.capacity,
         avoid,
         avoid_centre: Some(centre.as_str()),
+        // When this host is cut off from the run, the copy is on its side.
+        prefer_centre: Some(ctx.data_centre.as_str()),
         content: None,
     };
     let lease = ctx.servers.place(ctx.now(), &want)?;
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -80,6 +80,8 @@
     pub avoid: &'a [BackendId],
     /// A data centre that is taken only if there is no other.
     pub avoid_centre: Option<&'a str>,
+    /// A data centre whose servers are taken before others, if they have room.
+    pub prefer_centre: Option<&'a str>,
     /// A hash of the prompt that is the same for each repeat of the request.
     pub content: Option<u64>,
 }
@@ -289,6 +291,7 @@
             memory: want.load.memory + want.load.copies,
             avoid: &avoid,
             avoid_centre: want.avoid_centre,
+            prefer_centre: want.prefer_centre,
             spread: rand::random(),
             content: want.content,
         };
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -116,7 +116,13 @@
         grace: millis(settings.grace_s),
         leave: Millis(settings.leave_ms),
     };
-    let ctx = Arc::new(Context::new(Timer::start(), limits, budget, gossip));
+    let ctx = Arc::new(Context::new(
+        data_centre.clone(),
+        Timer::start(),
+        limits,
+        budget,
+        gossip,
+    ));
     let (callers, callers_addr) = bind(settings.listen.callers).await?;
     let (ready, ready_addr) = bind(settings.listen.ready).await?;
     let (metrics, metrics_addr) = bind(settings.listen.metrics).await?;
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -350,6 +350,7 @@
             capacity: self.memory.capacity,
             avoid: &self.avoid,
             avoid_centre: None,
+            prefer_centre: None,
             content: self.job.call.prompt.and_then(|p| p.content),
         };
         if self.memory.capacity == 0 {
