relay: a host that hears of nobody counts the requests of this window only

Cause: read once more, the sum over hosts that each take the best of three windows can be more than the best sum over all hosts, when callers go from one host to another and neither hears of the other.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -4,8 +4,8 @@
 //!
 //! The bound holds for all hosts together. Hosts tell each other what they have used; between two such
 //! exchanges each spends an equal share of what was left; what cannot be divided equally goes to hosts with
-//! requests that wait for a repeat. A host that hears of nobody spends out of its own requests and its part
-//! of the fixed allowance, so that the sum holds without any message.
+//! requests that wait for a repeat. A host that hears of nobody spends out of its own requests of the window
+//! and its part of the fixed allowance, so that the sum holds without any message.
 
 use base::prelude::*;
 use membership::gossip::{Shared, WINDOWS};
@@ -89,8 +89,12 @@
     /// The repeats that all hosts together may send within the window, and those that were sent.
     fn pool(&self, now: Millis) -> (u64, u64) {
         let others = &self.others;
+        // Alone, hosts would each take the window that was best for themselves.
+        let is_alone = others.heard == 1 && others.known > 1;
+        let windows = if is_alone { 1 } else { WINDOWS };
         let requests = self.requests(now).into_iter().zip(others.requests);
-        let most = requests.map(|(own, other)| own + other).max().unwrap_or(0);
+        let sums = requests.map(|(own, other)| own + other);
+        let most = sums.take(windows).max().unwrap_or(0);
         let earned = most * self.permille / 1_000;
         let fixed = self.extra * others.heard / others.known;
         (earned + fixed, self.repeats(now) + others.repeats)
