One loop for the calls of a connection, one wait for a repeat; constants with their reasons

Cause: read once more. `peer::serve` had the loop over a connection's calls three times; a request took a repeat twice in a row before it waited; a message was copied to several hosts in three places; the memory that a prompt needs was worked out for each round of questions; two constants in `sync` had no line of their own, and the one above them spoke of three. Change: `serve::answer`, `gossip::to_each`; `Context::repeat` is one loop; `Gossip::sums` always leaves out a host. Behaviour is the same; no test was changed.

--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -98,20 +98,19 @@
     /// and the caller has time. Returns whether there was one.
     pub async fn repeat(&self, job: &Job) -> bool {
         let since = self.now();
-        if self.spend(job, since) {
-            return true;
-        }
         let limit = Tries::repeat_wait(since.since(job.since), job.until.since(job.since));
-        let _waiting = Waiting::new(self, job);
+        let mut waiting = None;
         loop {
             let now = self.now();
             let waited = now.since(since);
             if self.spend(job, now) {
-                self.metrics.repeat_wait("repeated");
-                tracing::info!(
-                    id = %job.call.id, service = %job.plan.service, waited_ms = waited.0,
-                    "waited for a repeat"
-                );
+                if waiting.is_some() {
+                    self.metrics.repeat_wait("repeated");
+                    tracing::info!(
+                        id = %job.call.id, service = %job.plan.service, waited_ms = waited.0,
+                        "waited for a repeat"
+                    );
+                }
                 return true;
             }
             if waited >= limit {
@@ -119,6 +118,7 @@
                 self.refused(job, now, waited);
                 return false;
             }
+            waiting.get_or_insert_with(|| Waiting::new(self, job));
             self.wake_gossip.notify_one();
             self.timer.after(REPEAT_LOOK).await;
         }
--- a/crates/gooseberry-gateway/src/probe.rs
+++ b/crates/gooseberry-gateway/src/probe.rs
@@ -30,14 +30,15 @@
     if ids.len() < 2 {
         return ctx.servers.place(ctx.now(), want);
     }
+    let need = want.need();
     let mut told = Vec::with_capacity(ids.len());
     for round in ids.chunks(ASKED) {
         told.extend(join_all(round.iter().map(|id| ask(ctx, id, want.load.prefill))).await);
-        if want.need().fits_any(&told) {
+        if need.fits_any(&told) {
             break;
         }
     }
-    let chosen = best(&told, &want.need())?;
+    let chosen = best(&told, &need)?;
     tracing::debug!(server = %ids[chosen], ?told, "engines asked");
     let lease = ctx.servers.take(ctx.now(), &ids[chosen], want.load);
     lease.or_else(|| ctx.servers.place(ctx.now(), want))
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -27,13 +27,17 @@
 /// of the time within which a leaving server must get no more requests, in percent.
 const GATHER_PERCENT: u64 = 45;
 
-/// The same three times for a host that others take changes from: a silent store is noticed, and the others
-/// ask it themselves, within the 2 s that the users give a leaving server and a configuration.
+/// As [`WAIT`], at a host that others take changes from: a silent store is noticed, and the others ask it
+/// themselves, within the 2 s that the users give a leaving server and a configuration.
 const HUB_WAIT: Millis = Millis(500);
+
+/// As [`GATHER_PERCENT`], at such a host; for the same reason.
 const HUB_GATHER_PERCENT: u64 = 20;
 
-/// How long the hub holds a call open, and how long its answer may take beyond.
+/// How long the hub holds a call open; a hub that falls silent is noticed within 800 ms.
 const ASK_WAIT: Millis = Millis(500);
+
+/// The longest wait for the hub's answer beyond that; within a data centre it takes about a millisecond.
 const ASK_LIMIT: Millis = Millis(300);
 
 /// For how long the store is asked after the hub did not answer.
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -211,8 +211,7 @@
         }
         let message = self.message(now, Body::Digest(self.told.clone()));
         self.digest = message.seq;
-        let to = addrs.into_iter().map(|a| (a, message.clone()));
-        to.collect()
+        to_each(addrs, &message)
     }
 
     /// Silent hosts of this data centre that are to be asked again.
@@ -262,7 +261,7 @@
             usage: sums.usage.iter().map(|(_, u)| *u).collect(),
         };
         let message = self.message(now, body);
-        addrs.into_iter().map(|a| (a, message.clone())).collect()
+        to_each(addrs, &message)
     }
 
     /// What a hub tells the hosts that it serves of lost servers, and where it goes.
@@ -278,7 +277,7 @@
             ranks: Vec::new(),
         };
         let message = self.message(now, body);
-        addrs.into_iter().map(|a| (a, message.clone())).collect()
+        to_each(addrs, &message)
     }
 
     /// What a stopping host tells those that count on it; from now on it serves no other host.
@@ -399,7 +398,7 @@
     /// The answer to the digest of a host that this one serves.
     fn others(&mut self, now: Millis, host: &HostId, digest: u64) -> Message {
         self.expire(now);
-        let sums = self.sums(Some(host));
+        let sums = self.sums(host);
         let usage: Vec<Usage> = sums.usage.iter().map(|(_, u)| *u).collect();
         let ranks = usage.iter().map(|u| self.rank(host, u.service)).collect();
         let body = Body::Others {
@@ -442,7 +441,7 @@
             .iter()
             .any(|u| u.service == service && u.waiting > 0);
         let (hosts, usage, rank) = if self.is_hub() {
-            let sums = self.sums(Some(&self.host));
+            let sums = self.sums(&self.host);
             let usage = sums.usage.get(&service).copied();
             (
                 sums.hosts.saturating_add(1),
@@ -474,8 +473,8 @@
     }
 
     /// The sums over all hosts that are heard of, but for one.
-    fn sums(&self, but: Option<&HostId>) -> Sums {
-        let mut sums = self.served(but);
+    fn sums(&self, but: &HostId) -> Sums {
+        let mut sums = self.served(Some(but));
         for (_, told) in self.hubs.iter() {
             sums.add(told);
         }
@@ -550,6 +549,11 @@
     (data_centre, weight, host)
 }
 
+fn to_each(addrs: Vec<SocketAddr>, message: &Message) -> Vec<(SocketAddr, Message)> {
+    let messages = addrs.into_iter().map(|a| (a, message.clone()));
+    messages.collect()
+}
+
 /// Whether the other hubs are to be told at once that a host's use has changed.
 fn is_news(before: &[Usage], usage: &[Usage]) -> bool {
     let key = |u: &Usage| (u.service, u.repeats, u.waiting);
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -1,7 +1,7 @@
 //! The server loop for calls of peers.
 
 use base::prelude::*;
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use journal::record::{Append, Refusal};
 use membership::Beat;
 use platform::store::{Rows, Table};
@@ -134,9 +134,7 @@
     accept(listener, stop, |stream| {
         let transport = tarpc::serde_transport::new(stream, MessagePack::default());
         let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async move {
-            tokio::spawn(call);
-        }));
+        tokio::spawn(answer(calls));
     })
     .await;
 }
@@ -159,11 +157,9 @@
     accept(listener, stop, |stream| {
         let transport = tarpc::serde_transport::new(stream, MessagePack::default());
         let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+        let serving = answer(calls);
         let end = end.clone();
         tokio::spawn(async move {
-            let serving = calls.for_each(|call| async move {
-                tokio::spawn(call);
-            });
             // An agent that has stopped must not go on answering with what it knew.
             end.run_until_cancelled(serving).await;
         });
@@ -180,13 +176,23 @@
     accept(listener, stop, |stream| {
         let transport = tarpc::serde_transport::new(stream, MessagePack::default());
         let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-        tokio::spawn(calls.for_each(|call| async move {
-            tokio::spawn(call);
-        }));
+        tokio::spawn(answer(calls));
     })
     .await;
 }
 
+/// Answers the calls of one connection, side by side, until it ends.
+async fn answer<F>(calls: impl Stream<Item = F>)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    calls
+        .for_each(|call| async move {
+            tokio::spawn(call);
+        })
+        .await;
+}
+
 /// Takes connections and hands each to `run`.
 async fn accept(listener: TcpListener, stop: CancellationToken, run: impl Fn(Frames)) {
     loop {
