gateway, balance: resumed streams go to the engine that holds their prompt

Change: for a generation that has had output, all nine engines of the list are polled at once and asked which prompt parts they hold; a cached prompt counts as prefilled. The metric resumed_prompts counts hits and misses. Test: stream_resume returns_to_the_cached_prompt failed before (the new engine was chosen), cached_prompt_first.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -65,6 +65,8 @@
     pub running: u64,
     /// KV-cache tokens in use that cannot be freed.
     pub used: u64,
+    /// Tokens of the prompt to be placed that the server has cached.
+    pub cached: u64,
 }
 
 /// Indices of at most `count` servers to poll, the one most likely to have the prompt cached first.
@@ -95,6 +97,8 @@
 pub struct Need {
     /// KV-cache tokens of the prompt and the whole output.
     pub memory: u64,
+    /// Tokens of the prompt.
+    pub prompt: u64,
     /// Tokens of output.
     pub output: u64,
     /// Size of a server's KV cache in tokens; 0 for a plain service, which has none.
@@ -111,6 +115,15 @@
         self.capacity == 0 || report.used + growth + self.memory <= self.capacity
     }
 
+    /// Prompt tokens that a server prefills before the generation has its first output.
+    ///
+    /// The prompts that wait are taken to be of this size and not cached.
+    fn backlog(&self, report: &LoadReport) -> u64 {
+        // A prompt of unknown size counts as one token, so that the number of waiting prompts decides.
+        let prompt = self.prompt.max(1);
+        report.waiting * prompt + prompt.saturating_sub(report.cached)
+    }
+
     /// Whether any of the polled servers has room; if not, the caller polls further servers.
     ///
     /// After failures the remaining servers carry more load and the first ones polled may all be full. A
@@ -123,12 +136,20 @@
 /// Index of the best of the polled servers; those that did not answer come last.
 ///
 /// Among many hosts each one knows only a small part of a server's load, so a few servers are polled. Servers
-/// with room rank first, then those where the fewest prompts wait, then those that run the fewest requests;
-/// ties go to the first, which is the most likely to have the prompt cached.
+/// with room rank first, then those with the fewest prompt tokens to prefill, of which a cached prompt adds
+/// none; then those that have the most of the prompt cached, then those that run the fewest requests. Ties go
+/// to the first, which is the most likely to have the prompt cached.
 pub fn best_report(reports: &[Option<LoadReport>], need: &Need) -> Option<usize> {
     let order = |i: &usize| match reports[*i] {
-        Some(r) => (false, !need.fits(&r), r.waiting, r.running, *i),
-        None => (true, false, 0, 0, *i),
+        Some(r) => (
+            false,
+            !need.fits(&r),
+            need.backlog(&r),
+            Reverse(r.cached),
+            r.running,
+            *i,
+        ),
+        None => (true, false, 0, Reverse(0), 0, *i),
     };
     (0..reports.len()).min_by_key(order)
 }
--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -179,6 +179,7 @@
 
 const NEED: Need = Need {
     memory: 6_000,
+    prompt: 5_000,
     output: 1_000,
     capacity: 55_000,
 };
@@ -190,6 +191,7 @@
             waiting,
             running,
             used,
+            cached: 0,
         })
     };
     assert_eq!(
@@ -226,6 +228,7 @@
             waiting,
             running,
             used,
+            cached: 0,
         })
     };
     let (grows, waits, fits) = (
@@ -242,3 +245,36 @@
     };
     assert!(plain.fits_any(&[grows]), "a plain service has no KV cache");
 }
+
+/// Load: after all hosts were killed, the callers of their streams return at once, each to an engine that may
+/// still hold its prompt.
+#[test]
+fn cached_prompt_first() {
+    let holds = LoadReport {
+        running: 4,
+        used: 24_000,
+        cached: 5_000,
+        ..LoadReport::default()
+    };
+    let idle = LoadReport::default();
+    assert_eq!(best_report(&[Some(idle), Some(holds)], &NEED), Some(1));
+    let one_waits = LoadReport {
+        waiting: 1,
+        ..holds
+    };
+    assert_eq!(
+        best_report(&[Some(idle), Some(one_waits)], &NEED),
+        Some(1),
+        "to prefill one prompt before it takes as long as to prefill its own elsewhere"
+    );
+    let two_wait = LoadReport {
+        waiting: 2,
+        ..holds
+    };
+    assert_eq!(best_report(&[Some(idle), Some(two_wait)], &NEED), Some(0));
+    let full = LoadReport {
+        used: 52_000,
+        ..holds
+    };
+    assert_eq!(best_report(&[Some(idle), Some(full)], &NEED), Some(0));
+}
--- a/crates/gooseberry-gateway/src/backups.rs
+++ b/crates/gooseberry-gateway/src/backups.rs
@@ -166,6 +166,7 @@
         // If the network between the data centres fails, the backup is on this host's side.
         prefer_centre: Some(ctx.data_centre.as_str()),
         prompt_hash: None,
+        is_resumed: false,
     };
     let lease = ctx.servers.place(ctx.now(), &request)?;
     (!avoid.contains(&lease.id)).then_some(lease)
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -85,6 +85,8 @@
     pub prefer_centre: Option<&'a str>,
     /// Hash of the prompt, which is the same for each retry; `None` for a request without a prompt.
     pub prompt_hash: Option<u64>,
+    /// Whether the generation has had output before, so that a server may have its prompt cached.
+    pub is_resumed: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -92,6 +94,7 @@
     pub fn need(&self) -> Need {
         Need {
             memory: self.load.memory,
+            prompt: self.load.prefill,
             output: self.load.memory.saturating_sub(self.load.prefill),
             capacity: self.capacity,
         }
--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub hub_calls: Family<Cause, Counter>,
     /// Requests that waited for the retry budget to allow a retry, by outcome.
     pub retry_waits: Family<Cause, Counter>,
+    /// Generations that were resumed from the prompt, by whether the chosen server had the prompt cached.
+    pub resumed_prompts: Family<Cause, Counter>,
     /// Time to the complete answer of a call or to the first event of a stream, by kind of route, in seconds.
     pub latency: Histograms,
     /// Time without an event for the caller while a stream is resumed at another server, by source, in
@@ -77,6 +79,7 @@
             store_calls: Family::default(),
             hub_calls: Family::default(),
             retry_waits: Family::default(),
+            resumed_prompts: Family::default(),
             latency: Family::new_with_constructor(histogram),
             resume_gap: Family::new_with_constructor(histogram),
             in_flight: Gauge::default(),
@@ -127,6 +130,11 @@
             "Requests that waited for the retry budget, by outcome",
             self.retry_waits.clone(),
         );
+        r.register(
+            "resumed_prompts",
+            "Generations resumed from the prompt, by whether the server had it cached",
+            self.resumed_prompts.clone(),
+        );
         r.register(
             "latency_seconds",
             "Time to the complete answer of a call or the first event of a stream",
@@ -184,6 +192,11 @@
         self.hub_calls.get_or_create(&Cause { cause }).inc();
     }
 
+    /// Counts a generation that was resumed from the prompt; `cause` is whether the prompt was cached.
+    pub fn count_resumed_prompt(&self, cause: &'static str) {
+        self.resumed_prompts.get_or_create(&Cause { cause }).inc();
+    }
+
     /// Counts a request that waited for the retry budget; `cause` is the outcome.
     pub fn count_retry_wait(&self, cause: &'static str) {
         self.retry_waits.get_or_create(&Cause { cause }).inc();
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use balance::place::{LoadReport, best_report};
+use balance::place::{Load, LoadReport, best_report};
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http_body_util::Full;
-use hyper::{Request, Uri};
+use hyper::{Request, StatusCode, Uri};
+use platform::kv_list;
 use platform::report::{self, Report};
 
 use crate::context::Context;
@@ -33,40 +34,69 @@
         return ctx.servers.place(ctx.now(), request);
     }
     let need = request.need();
+    let prompt = Prompt {
+        tokens: request.load.prefill,
+        cached_as: request.prompt_hash.filter(|_| request.is_resumed),
+    };
+    // Any of them may have the prompt of a resumed generation cached.
+    let poll_size = if prompt.cached_as.is_some() {
+        ids.len()
+    } else {
+        POLL_SIZE
+    };
     let mut reports = Vec::with_capacity(ids.len());
-    for round in ids.chunks(POLL_SIZE) {
-        reports.extend(join_all(round.iter().map(|id| poll(ctx, id, request.load.prefill))).await);
+    for round in ids.chunks(poll_size) {
+        reports.extend(join_all(round.iter().map(|id| poll(ctx, id, &prompt))).await);
         if need.fits_any(&reports) {
             break;
         }
     }
     let chosen = best_report(&reports, &need)?;
-    tracing::debug!(server = %ids[chosen], told = ?reports, "engines polled for load");
-    let lease = ctx.servers.lease(ctx.now(), &ids[chosen], request.load);
+    let cached = reports[chosen].map_or(0, |r| r.cached);
+    if request.is_resumed {
+        let cause = if cached > 0 { "cached" } else { "not_cached" };
+        ctx.metrics.count_resumed_prompt(cause);
+    }
+    tracing::debug!(server = %ids[chosen], cached, told = ?reports, "engines polled for load");
+    let load = Load {
+        prefill: request.load.prefill.saturating_sub(cached),
+        ..request.load
+    };
+    let lease = ctx.servers.lease(ctx.now(), &ids[chosen], load);
     lease.or_else(|| ctx.servers.place(ctx.now(), request))
 }
 
-/// Polls one server; `None` if it does not answer. `prompt_tokens` is the size of the prompt to be placed.
-async fn poll(ctx: &Arc<Context>, id: &BackendId, prompt_tokens: u64) -> Option<LoadReport> {
-    let exchange = fetch(ctx, id);
-    let report = match tokio::time::timeout(POLL_TIMEOUT.duration(), exchange).await {
-        Ok(report) => report?,
+/// A prompt to be placed.
+struct Prompt {
+    /// Its size in tokens.
+    tokens: u64,
+    /// Its content hash if servers are asked how much of it they have cached.
+    cached_as: Option<u64>,
+}
+
+/// Polls one server; `None` if it does not answer.
+async fn poll(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<LoadReport> {
+    let exchange = fetch(ctx, id, prompt);
+    let (report, cached) = match tokio::time::timeout(POLL_TIMEOUT.duration(), exchange).await {
+        Ok(answer) => answer?,
         Err(_) => {
             liveness::spawn_check(ctx, id);
             return None;
         }
     };
     // A report is some hundred milliseconds old and may not include this host's latest prompts.
-    let own = ctx.servers.prefill(id).div_ceil(prompt_tokens.max(1));
+    let own = ctx.servers.prefill(id).div_ceil(prompt.tokens.max(1));
     Some(LoadReport {
         waiting: report.queued.max(own),
         running: report.running,
         used: report.kv_used,
+        cached,
     })
 }
 
-/// Fetches a server's report over an idle or a new connection.
-async fn fetch(ctx: &Arc<Context>, id: &BackendId) -> Option<Report> {
+/// Fetches a server's report, and how many tokens of the prompt it has cached, over an idle or a new
+/// connection.
+async fn fetch(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<(Report, u64)> {
     let addr = ctx.servers.addr(id)?;
     let mut link = match send::connect(ctx, id, addr, POLL_TIMEOUT, "report").await {
         Ok(link) => link,
@@ -81,16 +111,32 @@
         }
     };
     let report = fetch_report(&mut link).await?;
+    let cached = match prompt.cached_as {
+        Some(hash) => fetch_cached(&mut link, hash).await?,
+        None => 0,
+    };
     let now = ctx.now();
     ctx.servers.record_activity(id, now);
     ctx.servers.keep_idle(id, link, now, None);
-    Some(report)
+    Some((report, cached))
+}
+
+/// Fetches how many tokens of the prompt part `content_hash` a server has cached, 0 if it keeps no list;
+/// `None` if the connection fails.
+async fn fetch_cached(link: &mut Link, content_hash: u64) -> Option<u64> {
+    let (status, body) = get(link, kv_list::PATH).await?;
+    Some(kv_list::decode(status, &body, content_hash).unwrap_or(0))
 }
 
 /// Fetches a server's load report; `None` if the connection fails or the server is not an engine.
 pub async fn fetch_report(link: &mut Link) -> Option<Report> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(report::PATH);
-    let (status, body) = link.fetch(request).await.ok()?;
+    let (status, body) = get(link, report::PATH).await?;
     report::decode(status, &body)
 }
+
+/// Sends a GET request and reads the complete response; `None` if the connection fails.
+async fn get(link: &mut Link, path: &'static str) -> Option<(StatusCode, Bytes)> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(path);
+    link.fetch(request).await.ok()
+}
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -373,6 +373,7 @@
             avoid_centre: None,
             prefer_centre: None,
             prompt_hash: self.job.call.size.and_then(|s| s.content_hash),
+            is_resumed: self.progress.last_id().is_some(),
         };
         if self.kv.capacity == 0 {
             return self.ctx.servers.place(self.ctx.now(), &request);
--- a/crates/gooseberry-gateway/tests/stream_resume.rs
+++ b/crates/gooseberry-gateway/tests/stream_resume.rs
@@ -7,6 +7,9 @@
 use hyper::StatusCode;
 use site::{Answer, Site, events, generation};
 
+/// Number of prompts that are run twice.
+const PROMPTS: u64 = 8;
+
 fn assert_exact(answer: &Answer, id: &str, from: u64) {
     assert_eq!(answer.status, StatusCode::OK);
     assert!(answer.is_whole, "the stream was cut: {}", answer.text());
@@ -77,6 +80,36 @@
     assert_exact(&answer, "1", 9);
 }
 
+/// The host that ran the streams is gone with all it knew; an engine joined since.
+#[tokio::test]
+async fn returns_to_the_cached_prompt() {
+    let site = Site::bare().await;
+    site.server("e-1", true, "a").await;
+    site.configure(1, &site::config(1));
+    site.until("the engine is listed", || site.listed_count() == 1)
+        .await;
+    site.until("version 1", || site.version() == 1).await;
+    let prefix = |i: u64| format!("5c:200,{i:x}:800").parse().unwrap();
+    for i in 0..PROMPTS {
+        let mut request = generation(&format!("first-{i}"), "/draft/a");
+        request.headers_mut().insert("prompt-prefix", prefix(i));
+        assert!(site.send(request).await.is_whole);
+    }
+    site.server("e-2", true, "b").await;
+    site.until("both engines are listed", || site.listed_count() == 2)
+        .await;
+    for i in 0..PROMPTS {
+        let id = format!("again-{i}");
+        let mut request = generation(&id, "/draft/a");
+        request.headers_mut().insert("prompt-prefix", prefix(i));
+        let last = "9".parse().unwrap();
+        request.headers_mut().insert("last-event-id", last);
+        assert_exact(&site.send(request).await, &id, 9);
+        let runs = site.shared.runs(&id);
+        assert_eq!(runs[0].headers["expect-instance"], "e-1", "prompt {i}");
+    }
+}
+
 #[tokio::test]
 async fn caller_has_all_events() {
     let site = Site::start().await;
--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -142,6 +142,8 @@
     faults: Faults,
     shared: Shared,
     running: Mutex<usize>,
+    /// Ids of the prompt parts in the KV cache; nothing is evicted.
+    cached: Mutex<Vec<String>>,
 }
 
 /// A guard that counts a request as running, and on drop records it as abandoned unless its answer
@@ -175,6 +177,7 @@
         faults: Faults::default(),
         shared,
         running: Mutex::default(),
+        cached: Mutex::default(),
     });
     let handler = move |request| handle(Arc::clone(&worker), request);
     web::server::serve(listener, stop, handler).await;
@@ -184,6 +187,7 @@
     match request.uri().path() {
         "/faults" => return worker.faults.handle_request(request).await,
         "/report" if worker.settings.engine => return report(&worker),
+        "/kv-list" if worker.settings.engine => return list_cached(&worker),
         "/kv-move" if worker.settings.engine => return move_kv(&worker, request).await,
         _ => {}
     }
@@ -230,6 +234,9 @@
         lock(&worker.shared.backups).push((backup, id.clone()));
     }
     let from = header(&head.headers, "last-event-id").parse().unwrap_or(0);
+    let parts = header(&head.headers, "prompt-prefix").split(',');
+    let parts = parts.filter_map(|p| p.split(':').next().map(str::to_owned));
+    lock(&worker.cached).extend(parts);
     lock(&worker.shared.received).push(ReceivedRequest {
         id: id.clone(),
         path: head.uri.to_string(),
@@ -379,6 +386,17 @@
     reply::json(StatusCode::OK, &body)
 }
 
+/// Answers `/kv-list` of an engine: the prompt parts in its KV cache.
+fn list_cached(worker: &Worker) -> Response {
+    let cached = lock(&worker.cached);
+    let held: Vec<_> = cached
+        .iter()
+        .map(|id| json!(["", id, 1_000, "m"]))
+        .collect();
+    let body = json!({"epoch": 1, "next": 1, "held": held});
+    reply::json(StatusCode::OK, &body)
+}
+
 /// Answers `/kv-move` of an engine: registers the server `to` as the backup of a request.
 async fn move_kv(worker: &Worker, request: Request<Incoming>) -> Response {
     let body: serde_json::Value = match reply::read_json(request, MAX_BODY_BYTES).await {
