membership, gateway: the hosts with the most processor and network are hubs first

Cause: calls to the store are the greatest price of the large site. The hubs were hosts of 20 Mbit/s and 0.12 cores that pass each change of 325 servers on to 59 others: 325 rows of some 450 B to 59 hosts are 8.6 MB, over 3 s of such a link. Ruled out: processor time (the same without it), the accept queue. Change: rows of hosts state a priority, share of a core times link, from the new settings limits.cores and limits.link_mbps; hub order begins with it. Rows without it sort last, so an old host beside a new one uses another hub, as when a hub is gone (two_orders_of_hubs). Test: host_digests large_hosts_are_hubs_first fails without the priority in the order (a small host is the hub).

--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -11,7 +11,7 @@
 use hyper::Method;
 use serde_json::Value;
 use settings::common::Level;
-use settings::gateway::{Gateway as GatewaySettings, Listen, Retries};
+use settings::gateway::{Gateway as GatewaySettings, Limits, Listen, Retries};
 use web::client::call;
 
 use crate::harness::BenchError;
@@ -203,6 +203,7 @@
             },
             grace_s: STOP_GRACE.as_secs_f64(),
             leave_ms: 2_000,
+            limits: Limits::default(),
             log_level: Level::Info,
         };
         let file = self.run_folder.join(format!("gateway-{i}.json"));
--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -32,6 +32,9 @@
     peers: SocketAddr,
     /// The data centre of the host.
     data_centre: DataCentre,
+    /// The host's priority as a hub; absent in rows of earlier versions.
+    #[serde(default)]
+    hub_priority: u64,
 }
 
 /// Writes this host's row once, then reads the list of hosts until the task is aborted.
@@ -39,6 +42,7 @@
     let entry = Entry {
         peers: own.addr,
         data_centre: own.data_centre,
+        hub_priority: own.hub_priority,
     };
     // Serialising an address and a name to JSON cannot fail.
     let value = serde_json::to_vec(&entry).unwrap_or_default();
@@ -106,5 +110,6 @@
         host: HostId::from(row.key.as_str()),
         data_centre: entry.data_centre,
         addr: entry.peers,
+        hub_priority: entry.hub_priority,
     })
 }
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
-use membership::gossip::{Gossip, ListedPeer};
+use membership::gossip::{Gossip, ListedPeer, hub_priority};
 use platform::store::Table;
 use relay::Budget;
 use settings::gateway::{Gateway as Settings, Listen};
@@ -110,11 +110,13 @@
     );
     let host = settings.host.clone();
     let data_centre = settings.data_centre.clone();
+    let hub_priority = hub_priority(settings.limits.cores, settings.limits.link_mbps);
     let gossip = Gossip::new(
         host.clone(),
         data_centre.clone(),
         Incarnation(rand::random()),
-    );
+    )
+    .with_hub_priority(hub_priority);
     let limits = Limits {
         grace: from_seconds(settings.grace_s),
         leave: Millis(settings.leave_ms),
@@ -153,6 +155,7 @@
             host: host.clone(),
             data_centre,
             addr: peers,
+            hub_priority,
         },
     ));
     tasks.spawn(gossip::send_reports(Arc::clone(&ctx), Arc::clone(&socket)));
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, StatusCode};
 use serde_json::Value;
 use settings::common::Level;
-use settings::gateway::{Gateway as Settings, Listen, Retries};
+use settings::gateway::{Gateway as Settings, Limits, Listen, Retries};
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -236,6 +236,7 @@
         },
         grace_s: 8.0,
         leave_ms: 2_000,
+        limits: Limits::default(),
         log_level: Level::Off,
     }
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -6,12 +6,13 @@
 //! centre and with the number of data centres.
 //!
 //! Hubs are not elected: each host uses the first listed host of its data centre, in an order common to all
-//! hosts, that is not marked unresponsive. While hosts disagree, a data centre has two hubs for a while,
+//! hosts that puts those with the most processor and network first, that is not marked unresponsive. While hosts disagree, a data centre has two hubs for a while,
 //! which send each other their sums. Each message is self-contained, so that lost, late and duplicate
 //! messages do no harm. A host that reaches no hub works with its own share of the budget.
 
 mod message;
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use base::hash::rendezvous;
@@ -47,6 +48,8 @@
     pub data_centre: DataCentre,
     /// Address on which it receives messages.
     pub addr: SocketAddr,
+    /// See [`hub_priority`]; 0 for a host whose row does not state it.
+    pub hub_priority: u64,
 }
 
 /// The usage of one service, summed over the hosts whose usage has been received.
@@ -111,6 +114,7 @@
 pub struct Gossip {
     host: HostId,
     data_centre: DataCentre,
+    hub_priority: u64,
     incarnation: Incarnation,
     seq: u64,
     /// The other hosts in the store's list, in hub order.
@@ -151,12 +155,18 @@
         }
     }
 
+    /// Sets this host's own [`hub_priority`], as in its row of the list.
+    pub fn with_hub_priority(self, hub_priority: u64) -> Self {
+        Self {
+            hub_priority,
+            ..self
+        }
+    }
+
     /// Replaces the list of hosts.
     pub fn set_hosts(&mut self, mut hosts: Vec<ListedPeer>) {
         hosts.retain(|l| l.host != self.host);
-        hosts.sort_by(|a, b| {
-            hub_order(&a.data_centre, &a.host).cmp(&hub_order(&b.data_centre, &b.host))
-        });
+        hosts.sort_by(|a, b| a.hub_order().cmp(&b.hub_order()));
         self.listed = hosts;
         self.is_listed = true;
     }
@@ -168,11 +178,9 @@
 
     /// The hub of this host; `None` if it is its own.
     pub fn hub(&self) -> Option<&ListedPeer> {
-        let own = hub_order(&self.data_centre, &self.host);
+        let own = hub_order(&self.data_centre, self.hub_priority, &self.host);
         let mut local = self.local_hosts();
-        local.find(|l| {
-            hub_order(&l.data_centre, &l.host) < own && self.unresponsive.get(&l.host).is_none()
-        })
+        local.find(|l| l.hub_order() < own && self.unresponsive.get(&l.host).is_none())
     }
 
     /// Whether the sums come from another host, the hub, whose last answer has not expired.
@@ -555,13 +563,27 @@
     }
 }
 
+/// Priority of a host as the hub of its data centre; hosts of the highest one are hubs first.
+///
+/// A hub needs the processor to encode the changes of the servers' table for each member and the link to send
+/// them, so the priority is the product of `cores`, the share of a processor core, and `link_mbps`, the speed
+/// of the link in Mbit/s, in hundredths.
+pub fn hub_priority(cores: f64, link_mbps: f64) -> u64 {
+    (cores * link_mbps * 100.0) as u64
+}
+
 /// Sort key of hosts: by data centre, and within it the order in which hosts become its hub.
-fn hub_order<'a>(
-    data_centre: &'a DataCentre,
-    host: &'a HostId,
-) -> (&'a DataCentre, u64, &'a HostId) {
+type HubOrder<'a> = (&'a DataCentre, Reverse<u64>, u64, &'a HostId);
+
+fn hub_order<'a>(data_centre: &'a DataCentre, hub_priority: u64, host: &'a HostId) -> HubOrder<'a> {
     let weight = rendezvous(data_centre.as_str(), host.as_str());
-    (data_centre, weight, host)
+    (data_centre, Reverse(hub_priority), weight, host)
+}
+
+impl ListedPeer {
+    fn hub_order(&self) -> HubOrder<'_> {
+        hub_order(&self.data_centre, self.hub_priority, &self.host)
+    }
 }
 
 fn to_each(addrs: Vec<SocketAddr>, message: &Message) -> Vec<(SocketAddr, Message)> {
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use membership::gossip::{Body, FailedServer, Gossip, ListedPeer, Message, SharedUsage, Usage};
+use membership::gossip::{
+    Body, FailedServer, Gossip, ListedPeer, Message, SharedUsage, Usage, hub_priority,
+};
 
 /// The period of digests.
 const PERIOD: Millis = Millis(500);
@@ -25,6 +27,7 @@
     addr: SocketAddr,
     gossip: Gossip,
     usage: Usage,
+    hub_priority: u64,
     is_up: bool,
     is_cut: bool,
     failed: Vec<u32>,
@@ -51,6 +54,7 @@
                     retries: 1,
                     waiting: 0,
                 },
+                hub_priority: 0,
                 is_up: true,
                 is_cut: false,
                 failed: Vec::new(),
@@ -62,11 +66,23 @@
             sent: Vec::new(),
             counts: vec![0; hosts],
         };
-        let all: Vec<ListedPeer> = net.hosts.iter().map(Host::listed).collect();
-        for host in &mut net.hosts {
+        net.list_hosts();
+        net
+    }
+
+    /// Gives all hosts the list of hosts.
+    fn list_hosts(&mut self) {
+        let all: Vec<ListedPeer> = self.hosts.iter().map(Host::listed).collect();
+        for host in &mut self.hosts {
             host.gossip.set_hosts(all.clone());
         }
-        net
+    }
+
+    /// Lists a host with the given processor share and link.
+    fn set_limits(&mut self, host: usize, cores: f64, link_mbps: f64) {
+        let host = &mut self.hosts[host];
+        host.hub_priority = hub_priority(cores, link_mbps);
+        host.gossip = host.gossip.clone().with_hub_priority(host.hub_priority);
     }
 
     fn run(&mut self, time: Millis) {
@@ -143,6 +159,7 @@
 impl Host {
     fn listed(&self) -> ListedPeer {
         ListedPeer {
+            hub_priority: self.hub_priority,
             host: self.name.clone(),
             data_centre: self.data_centre.clone(),
             addr: self.addr,
@@ -201,6 +218,50 @@
     net.assert_sums(23);
 }
 
+/// A data centre of small hosts with a few large ones; the table of servers reaches the others through the hub.
+#[test]
+fn large_hosts_are_hubs_first() {
+    let mut net = Net::new(60, 3);
+    for host in 0..60 {
+        net.set_limits(host, 0.12, 20.0);
+    }
+    let large = [1, 4];
+    for host in large {
+        net.set_limits(host, 0.5, 200.0);
+    }
+    net.list_hosts();
+    net.run(Millis(2_000));
+    let first = net.hub(1);
+    assert!(large.contains(&first), "host {first} is the hub");
+    net.hosts[first].is_up = false;
+    net.run(Millis(4_500));
+    let second = net.hub(1);
+    assert!(large.contains(&second), "host {second} is the hub");
+    net.hosts[second].is_up = false;
+    net.run(Millis(4_500));
+    assert!(!large.contains(&net.hub(1)), "a small host is the hub");
+    net.assert_sums(57);
+}
+
+/// While a new version is rolled out, old hosts know of no priorities and order the hubs without them.
+#[test]
+fn two_orders_of_hubs() {
+    let mut net = Net::new(30, 3);
+    net.set_limits(4, 0.5, 200.0);
+    net.list_hosts();
+    let without: Vec<ListedPeer> = net.hosts.iter().map(Host::listed).collect();
+    let without = without.into_iter().map(|l| ListedPeer {
+        hub_priority: 0,
+        ..l
+    });
+    let without: Vec<ListedPeer> = without.collect();
+    for host in (0..30).filter(|i| i % 2 == 1) {
+        net.hosts[host].gossip.set_hosts(without.clone());
+    }
+    net.run(Millis(4_000));
+    net.assert_sums(29);
+}
+
 #[test]
 fn stopping_hub_is_replaced_at_once() {
     let mut net = Net::new(9, 3);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -27,6 +27,9 @@
     pub grace_s: f64,
     /// Time after which a leaving backend server must receive no new requests, in milliseconds.
     pub leave_ms: u64,
+    /// What the host has of processor and network; decides the order in which hosts become hubs.
+    #[serde(default)]
+    pub limits: Limits,
     /// Least severe log level that is written.
     #[serde(default = "default_level")]
     pub log_level: Level,
@@ -58,6 +61,16 @@
     pub extra: f64,
 }
 
+/// Resources of a host. A host that states none is a hub only where no other one is left.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Share of a processor core that the host may use; 2 for two whole cores.
+    pub cores: f64,
+    /// Speed of its network link in Mbit/s.
+    pub link_mbps: f64,
+}
+
 /// The default of [`Gateway::log_level`].
 fn default_level() -> Level {
     Level::Info
@@ -88,6 +101,8 @@
         let allowances = [
             ("retries.ratio", self.retries.ratio),
             ("retries.extra", self.retries.extra),
+            ("limits.cores", self.limits.cores),
+            ("limits.link_mbps", self.limits.link_mbps),
         ];
         for (place, value) in allowances {
             if value < 0.0 || value.is_nan() {
--- a/crates/settings/tests/gateway_file.rs
+++ b/crates/settings/tests/gateway_file.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use settings::gateway::Gateway;
+use settings::gateway::{Gateway, Limits};
 
 const FILE: &str = r#"{
   "host": "front-1", "data_centre": "a",
@@ -10,7 +10,7 @@
              "peers": "10.1.0.19:7200", "metrics": "10.1.0.19:9464"},
   "store": "10.200.1.7:8742",
   "retries": {"window_s": 10, "ratio": 0.8, "extra": 150},
-  "grace_s": 8, "leave_ms": 2000
+  "grace_s": 8, "leave_ms": 2000, "limits": {"cores": 0.25, "link_mbps": 1000.0}
 }"#;
 
 fn load(text: &str) -> Result<Gateway, String> {
@@ -29,6 +29,14 @@
     assert_eq!(settings.host.as_str(), "front-1");
     assert_eq!(settings.retries.ratio, 0.8);
     assert_eq!(settings.grace_s, 8.0);
+    assert_eq!(settings.limits.link_mbps, 1_000.0);
+}
+
+#[test]
+fn without_limits() {
+    let (start, _) = FILE.split_once(", \"limits\"").unwrap();
+    let settings = load(&format!("{start}}}")).unwrap();
+    assert_eq!(settings.limits, Limits::default());
 }
 
 #[test]
@@ -38,6 +46,7 @@
         ("\"grace_s\": 8", "\"grace_s\": 0", "grace_s", "above 0"),
         ("2000", "0", "leave_ms", "above 0"),
         ("0.8", "-1", "retries.ratio", "0 or a number above"),
+        ("0.25", "-1", "limits.cores", "0 or a number above"),
         (
             "10.1.0.19:7200",
             "0.0.0.0:7200",
