gateway, membership: a host stands in for a hub that the store refuses

Ruled out: batches of changes (a poll of the hub returns them at once). Change: membership::sources, the hosts to poll before the store: the hub and the next host in hub order, each passed over for a while when silent (3 s) or without changes (1 s). The stand-in polls the store itself and so has the changes. A member waits up to 2 s between failed calls, its hub still 0.8 s. A host that starts waits up to 1 s for the list. A hub holds a poll for a quarter of the bound of leaving servers instead of 0.5 s. The list is read again after 10 s, then every 30 s by hubs and every 120 s by members.

--- a/crates/gooseberry-gateway/src/feed.rs
+++ b/crates/gooseberry-gateway/src/feed.rs
@@ -1,10 +1,11 @@
 //! Serves the latest changes of the store's tables to the other hosts of the data centre.
 //!
-//! A host serves the changes of a table only while it polls the store for them itself. A host that polls
-//! its hub serves none, so that hosts never poll each other in a cycle.
+//! A host serves the changes of a table only while it polls the store for them itself. A host that got them
+//! from another host serves none, so that hosts never poll each other in a cycle.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use base::prelude::*;
 use peer::host::FeedError;
@@ -101,6 +102,8 @@
 pub struct Feeds {
     operator: watch::Sender<RecentChanges>,
     servers: watch::Sender<RecentChanges>,
+    /// When another host last polled this one, plus 1; 0 if none ever did.
+    last_poll: AtomicU64,
 }
 
 impl Feeds {
@@ -113,6 +116,11 @@
         }
     }
 
+    /// Whether another host has polled this one since `since`.
+    pub fn is_polled_since(&self, since: Millis) -> bool {
+        self.last_poll.load(Ordering::Relaxed) > since.0
+    }
+
     /// Updates the changes of a table and wakes the polls that wait for them.
     pub fn update(&self, table: Table, change: impl FnOnce(&mut RecentChanges)) {
         if let Some(feed) = self.table(table) {
@@ -149,6 +157,9 @@
     let Some(feed) = ctx.feeds.table(table) else {
         return Err(FeedError::Unavailable);
     };
+    ctx.feeds
+        .last_poll
+        .store(ctx.now().0 + 1, Ordering::Relaxed);
     let mut feed = feed.subscribe();
     let timeout = ctx.timer.after(wait);
     tokio::pin!(timeout);
--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -13,9 +13,16 @@
 use crate::context::Context;
 use crate::store::{CallError, Store};
 
-/// The interval between reads of the list; in between, new hosts become known by their digests.
+/// The time from the first read of the list to the second one, which finds the hosts that started together
+/// with this one but wrote their rows later.
+const SECOND_READ: Millis = Millis(10_000);
+
+/// The interval between further reads by a hub; in between, new hosts become known by their digests.
 const PERIOD: Millis = Millis(30_000);
 
+/// The interval between further reads by a member of a hub, which uses the list only if the hub fails.
+const MEMBER_PERIOD: Millis = Millis(120_000);
+
 /// The pause after a failed call.
 const RETRY_PAUSE: Millis = Millis(1_000);
 
@@ -50,13 +57,15 @@
     loop {
         let result = refresh(&ctx, &mut store, &own.host, &value, is_written).await;
         let pause = match result {
-            Ok(()) => PERIOD,
-            Err(error) => {
+            Ok(()) if !is_written => SECOND_READ,
+            Ok(()) if ctx.gossip().is_hub() => PERIOD,
+            Ok(()) => MEMBER_PERIOD,
+            Err(ref error) => {
                 tracing::info!(%error, is_written, "cannot update the list of hosts; will retry");
                 RETRY_PAUSE
             }
         };
-        is_written |= pause == PERIOD;
+        is_written |= result.is_ok();
         ctx.timer.after(pause).await;
     }
 }
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -1,13 +1,15 @@
 //! Synchronises the configuration and the registry of backend servers with the store by long polling.
 //!
 //! A table is first read in full from the store. Its changes are then polled from the hub of the data
-//! centre, so that the number of store calls does not grow with the number of hosts. They are polled from
-//! the store if this host is the hub, or if the hub does not answer or cannot provide them.
+//! centre, or from the host that stands in for it, so that the number of store calls does not grow with the
+//! number of hosts. They are polled from the store if this host is the hub, or if neither can provide them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
 use membership::roster::Change;
+use membership::sources::{MAX_SOURCES, Sources};
 use peer::link::HostLink;
 use platform::store::{self, CONFIG_KEY, Row, Rows, StoreError, Table};
 use platform::{config, servers};
@@ -27,14 +29,17 @@
 /// percent of the time after which a leaving server must receive no more requests.
 const BATCH_PERCENT: u64 = 45;
 
-/// [`STORE_HOLD`] of a hub that has members. It is shorter, so that the hub detects an unresponsive store
-/// and its members poll the store themselves within 2 s, the bound for draining a leaving server and for
-/// applying a configuration.
-const STORE_HOLD_AS_HUB: Millis = Millis(500);
+/// [`STORE_HOLD`] of a host that others poll, in percent of the time after which a leaving server must receive
+/// no more requests. It is shorter, so that the host detects an unresponsive store and the others poll the
+/// store themselves within that time.
+const HOLD_PERCENT_AS_HUB: u64 = 25;
 
-/// [`BATCH_PERCENT`] of a hub that has members; shorter for the same reason.
+/// [`BATCH_PERCENT`] of a host that others poll; shorter for the same reason.
 const BATCH_PERCENT_AS_HUB: u64 = 20;
 
+/// A host that was polled within this time is still in use; hosts poll at least every 800 ms.
+const RECENT_POLL: Millis = Millis(2_000);
+
 /// How long the hub holds a poll open. With [`HUB_TIMEOUT`], an unresponsive hub is detected within 800 ms.
 const HUB_HOLD: Millis = Millis(500);
 
@@ -42,12 +47,17 @@
 /// 1 ms.
 const HUB_TIMEOUT: Millis = Millis(300);
 
-/// How long the store is polled instead after the hub did not answer.
-const HUB_BACKOFF: Millis = Millis(3_000);
-
 /// The first and the greatest pause after a failed call; the pause doubles with each failure in a row.
 const STORE_BACKOFF: (Millis, Millis) = (Millis(100), Millis(800));
 
+/// The greatest pause after a failed call of a host that has a hub, which detects the return of the store for
+/// it.
+const MEMBER_BACKOFF: Millis = Millis(2_000);
+
+/// How long a host that has just started waits for the list of hosts before it polls for changes, and how often
+/// it checks. Hosts that start together would otherwise all poll the store.
+const LIST_WAIT: (Millis, Millis) = (Millis(1_000), Millis(50));
+
 /// Synchronisation state of one table.
 struct TableWatch {
     ctx: Arc<Context>,
@@ -57,11 +67,11 @@
     revision: Option<u64>,
     /// Whether the last call to the store failed, and since then neither it nor the hub has answered.
     is_unavailable: bool,
-    /// The link to the hub that was polled last.
-    hub: Option<HostLink>,
-    /// Until when the store is polled although there is a hub, because the hub did not answer.
-    hub_retry_at: Millis,
-    /// Whether the last changes came from the hub.
+    /// Links to the hosts that were polled.
+    links: Vec<HostLink>,
+    /// The hosts to poll before the store.
+    sources: Sources,
+    /// Whether the last changes came from another host.
     is_from_hub: bool,
 }
 
@@ -73,8 +83,8 @@
         store,
         revision: None,
         is_unavailable: false,
-        hub: None,
-        hub_retry_at: Millis(0),
+        links: Vec::new(),
+        sources: Sources::default(),
         is_from_hub: false,
     };
     let mut backoff = STORE_BACKOFF.0;
@@ -88,7 +98,7 @@
             Err(error) => {
                 watch.call_failed(&error);
                 watch.ctx.timer.after(backoff).await;
-                backoff = (backoff + backoff).min(STORE_BACKOFF.1);
+                backoff = (backoff + backoff).min(watch.max_backoff());
             }
         }
     }
@@ -98,9 +108,13 @@
     /// Reads the table in full the first time and after a compaction; otherwise polls for its next changes.
     async fn step(&mut self) -> Result<(), CallError> {
         match self.revision {
-            None => self.read_table().await,
+            None => {
+                self.read_table().await?;
+                self.until_listed().await;
+                Ok(())
+            }
             Some(revision) => {
-                if !self.poll_hub(revision).await {
+                if !self.poll_hubs(revision).await {
                     self.poll_store(revision).await?;
                 }
                 Ok(())
@@ -108,10 +122,32 @@
         }
     }
 
+    /// Waits for the list of hosts, in which the hub is found, for at most [`LIST_WAIT`].
+    async fn until_listed(&self) {
+        let (limit, interval) = LIST_WAIT;
+        let end = self.ctx.now() + limit;
+        while !self.ctx.gossip().is_listed() && self.ctx.now() < end {
+            self.ctx.timer.after(interval).await;
+        }
+    }
+
+    /// The greatest pause after a failed call.
+    fn max_backoff(&self) -> Millis {
+        if self.ctx.gossip().is_hub() {
+            STORE_BACKOFF.1
+        } else {
+            MEMBER_BACKOFF
+        }
+    }
+
     /// Polls the store for changes and publishes them to the hosts that poll this one.
     async fn poll_store(&mut self, revision: u64) -> Result<(), CallError> {
-        let (hold, percent) = if self.ctx.gossip().has_members() {
-            (STORE_HOLD_AS_HUB, BATCH_PERCENT_AS_HUB)
+        let leave = self.ctx.limits.leave.0;
+        let (hold, percent) = if self.ctx.feeds.is_polled_since(self.ctx.now() - RECENT_POLL) {
+            (
+                Millis(leave * HOLD_PERCENT_AS_HUB / 100),
+                BATCH_PERCENT_AS_HUB,
+            )
         } else {
             (STORE_HOLD, BATCH_PERCENT)
         };
@@ -123,34 +159,51 @@
         let add = |f: &mut RecentChanges| f.append(&rows.rows, revision, rows.revision);
         self.ctx.feeds.update(self.table, add);
         if !rows.rows.is_empty() {
-            let pause = self.ctx.limits.leave.0 * percent / 100;
-            self.ctx.timer.after(Millis(pause)).await;
+            self.ctx.timer.after(Millis(leave * percent / 100)).await;
         }
         Ok(())
     }
 
-    /// Polls the hub for changes; returns whether it answered, possibly with none. If not, the caller polls
-    /// the store.
-    async fn poll_hub(&mut self, revision: u64) -> bool {
-        let now = self.ctx.now();
-        let addr = self.ctx.gossip().hub().map(|h| h.addr);
-        let Some(addr) = addr.filter(|_| now >= self.hub_retry_at) else {
-            return false;
-        };
-        self.ctx
-            .feeds
-            .update(self.table, RecentChanges::set_unavailable);
-        let hub = match self.hub.take() {
-            Some(hub) if hub.addr() == addr => hub,
-            _ => HostLink::new(addr),
+    /// Polls the hub, and then the host that stands in for it, for changes; returns whether one answered, possibly
+    /// with none. If not, the caller polls the store.
+    async fn poll_hubs(&mut self, revision: u64) -> bool {
+        let hubs: Vec<SocketAddr> = {
+            let gossip = self.ctx.gossip();
+            gossip.hubs().take(MAX_SOURCES).map(|h| h.addr).collect()
         };
+        self.links.retain(|l| hubs.contains(&l.addr()));
+        while let Some(addr) = self.sources.next(self.ctx.now(), &hubs) {
+            if self.poll_hub(addr, revision).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The link to the host at `addr`.
+    fn link(&mut self, addr: SocketAddr) -> &HostLink {
+        let index = self.links.iter().position(|l| l.addr() == addr);
+        let index = index.unwrap_or_else(|| {
+            self.links.push(HostLink::new(addr));
+            self.links.len() - 1
+        });
+        &self.links[index]
+    }
+
+    /// Polls the host at `addr` for changes; returns whether it answered, possibly with none.
+    async fn poll_hub(&mut self, addr: SocketAddr, revision: u64) -> bool {
+        let table = self.table;
         let limit = (HUB_HOLD + HUB_TIMEOUT).duration();
-        let response = hub.changes(self.table, revision, HUB_HOLD, limit).await;
-        self.hub = Some(hub);
+        let link = self.link(addr);
+        let response = link.changes(table, revision, HUB_HOLD, limit).await;
+        let now = self.ctx.now();
         let table: &'static str = self.table.into();
         match response {
             Ok(Ok(rows)) => {
                 self.ctx.metrics.count_hub_call("answered");
+                self.ctx
+                    .feeds
+                    .update(self.table, RecentChanges::set_unavailable);
                 self.call_succeeded();
                 self.set_source(true);
                 self.apply_changes(&rows, revision);
@@ -158,13 +211,14 @@
             }
             Ok(Err(reason)) => {
                 self.ctx.metrics.count_hub_call(reason.into());
-                tracing::debug!(table, %addr, %reason, "hub cannot provide changes; polling the store");
+                tracing::debug!(table, %addr, %reason, "hub cannot provide changes; polling another source");
+                self.sources.record_unavailable(now, addr);
                 false
             }
             Err(error) => {
                 self.ctx.metrics.count_hub_call("silent");
-                tracing::info!(table, %error, "hub did not answer; polling the store for a while");
-                self.hub_retry_at = self.ctx.now() + HUB_BACKOFF;
+                tracing::info!(table, %error, "hub did not answer; polling another source for a while");
+                self.sources.record_silent(now, addr);
                 false
             }
         }
--- a/crates/gooseberry-gateway/tests/shared_feed.rs
+++ b/crates/gooseberry-gateway/tests/shared_feed.rs
@@ -79,12 +79,26 @@
 
 /// A host name that comes after `host-1` in hub order, so that `host-1` is its hub.
 fn later_host() -> String {
-    let weight = |host: &str| rendezvous("a", host);
-    let names = (2..).map(|i| format!("host-{i}"));
-    let mut later = names.skip_while(|n| weight(n) < weight("host-1"));
+    let mut later = host_names().skip_while(|n| weight(n) < weight("host-1"));
     later.next().expect("a later name")
 }
 
+/// Two host names that come before `host-1`, in hub order.
+fn earlier_hosts() -> [String; 2] {
+    let earlier = host_names().filter(|n| weight(n) < weight("host-1"));
+    let mut names: Vec<String> = earlier.take(2).collect();
+    names.sort_by_key(|n| weight(n));
+    names.try_into().expect("two names")
+}
+
+fn host_names() -> impl Iterator<Item = String> {
+    (2..).map(|i| format!("host-{i}"))
+}
+
+fn weight(host: &str) -> u64 {
+    rendezvous("a", host)
+}
+
 fn store_calls(gateway: &Gateway) -> u64 {
     let cause = Cause { cause: "answered" };
     gateway.ctx.metrics.store_calls.get_or_create(&cause).get()
@@ -141,6 +155,33 @@
     );
 }
 
+/// The store refuses the hub and serves the others: one of them stands in for it.
+#[tokio::test]
+async fn hub_cut_from_store() {
+    let site = Site::bare().await;
+    let [first, second] = earlier_hosts();
+    let (hub, way) = site.gateway_apart(&first).await;
+    site.until("the hub is listed", || hub.ctx.gossip().is_listed())
+        .await;
+    let stand_in = site.gateway(&second).await;
+    site.until("the stand-in is listed", || {
+        stand_in.ctx.gossip().is_listed()
+    })
+    .await;
+    let other = site.gateway(&later_host()).await;
+    let next = until_shared(&site, &other).await;
+    drop(way);
+    site.until("the hub is cut from the store", || {
+        hub.ctx.servers.is_registry_unavailable()
+    })
+    .await;
+    let mut calls = Vec::new();
+    for number in next..next + 6 {
+        calls.push(change(&site, &other, number).await);
+    }
+    assert_eq!(calls[3..], [0, 0, 0], "store calls of a member: {calls:?}");
+}
+
 #[tokio::test]
 async fn changes_apply_after_store_outage() {
     let site = Site::start().await;
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -19,7 +19,8 @@
 use serde_json::Value;
 use settings::common::Level;
 use settings::gateway::{Gateway as Settings, Limits, Listen, Retries};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 pub(crate) use gooseberry_standin::site::caller::Answer;
@@ -94,6 +95,23 @@
             .unwrap()
     }
 
+    /// Starts another gateway, whose way to the store can be cut by dropping the guard.
+    pub(crate) async fn gateway_apart(&self, host: &str) -> (Gateway, DropGuard) {
+        let listener = listener().await;
+        let addr = listener.local_addr().unwrap();
+        let stop = CancellationToken::new();
+        let relay = relay(listener, self.store_addr);
+        let cut = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = relay => {}
+                () = cut.cancelled() => {}
+            }
+        });
+        let gateway = run::start(&settings(host, addr), || 0).await.unwrap();
+        (gateway, stop.drop_guard())
+    }
+
     /// Starts a backend server and lists it.
     pub(crate) async fn server(&self, id: &str, is_engine: bool, centre: &str) -> SocketAddr {
         let listener = listener().await;
@@ -217,6 +235,18 @@
     caller::events(id, from, worker::Settings::default().events)
 }
 
+/// Passes connections on to `to` until it is dropped, which cuts them.
+async fn relay(listener: TcpListener, to: SocketAddr) {
+    let mut connections = JoinSet::new();
+    while let Ok((mut from, _)) = listener.accept().await {
+        connections.spawn(async move {
+            let mut to = TcpStream::connect(to).await.unwrap();
+            // An error here is the end of the connection on either side.
+            let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
+        });
+    }
+}
+
 fn settings(host: &str, store: SocketAddr) -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -178,9 +178,20 @@
 
     /// The hub of this host; `None` if it is its own.
     pub fn hub(&self) -> Option<&ListedPeer> {
+        self.hubs().next()
+    }
+
+    /// The hub of this host and those that follow it in hub order, up to this host; without unresponsive ones.
+    pub fn hubs(&self) -> impl Iterator<Item = &ListedPeer> {
         let own = hub_order(&self.data_centre, self.hub_priority, &self.host);
-        let mut local = self.local_hosts();
-        local.find(|l| l.hub_order() < own && self.unresponsive.get(&l.host).is_none())
+        let is_before = move |l: &&ListedPeer| l.hub_order() < own;
+        let is_responsive = |l: &&ListedPeer| self.unresponsive.get(&l.host).is_none();
+        self.local_hosts().filter(is_before).filter(is_responsive)
+    }
+
+    /// Whether the list of hosts has been read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
     }
 
     /// Whether the sums come from another host, the hub, whose last answer has not expired.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod own;
 pub mod policy;
 pub mod roster;
+pub mod sources;
 
 pub use heartbeat::Heartbeat;
 pub use members::Members;
