gateway, membership: a host reads the list again when more hosts report than it has

Change: Gossip::is_list_short compares the hosts that report with the list, checked every 5 s; the fixed second read is gone. A member's first pause after a failed call is 500 ms instead of 100. Test: host_digests short_list_is_noticed (no such check before).

--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -13,16 +13,16 @@
 use crate::context::Context;
 use crate::store::{CallError, Store};
 
-/// The time from the first read of the list to the second one, which finds the hosts that started together
-/// with this one but wrote their rows later.
-const SECOND_READ: Millis = Millis(10_000);
-
-/// The interval between further reads by a hub; in between, new hosts become known by their digests.
+/// The interval between reads of the list by a hub.
 const PERIOD: Millis = Millis(30_000);
 
-/// The interval between further reads by a member of a hub, which uses the list only if the hub fails.
+/// The interval between reads by a member of a hub, which uses the list only if the hub fails.
 const MEMBER_PERIOD: Millis = Millis(120_000);
 
+/// How often a host checks whether more hosts report than its list has: those that started together with it
+/// but wrote their rows later, and those added since.
+const CHECK_INTERVAL: Millis = Millis(5_000);
+
 /// The pause after a failed call.
 const RETRY_PAUSE: Millis = Millis(1_000);
 
@@ -56,17 +56,34 @@
     let mut is_written = false;
     loop {
         let result = refresh(&ctx, &mut store, &own.host, &value, is_written).await;
-        let pause = match result {
-            Ok(()) if !is_written => SECOND_READ,
-            Ok(()) if ctx.gossip().is_hub() => PERIOD,
-            Ok(()) => MEMBER_PERIOD,
-            Err(ref error) => {
+        match result {
+            Ok(()) => {
+                is_written = true;
+                until_due(&ctx).await;
+            }
+            Err(error) => {
                 tracing::info!(%error, is_written, "cannot update the list of hosts; will retry");
-                RETRY_PAUSE
+                ctx.timer.after(RETRY_PAUSE).await;
             }
+        }
+    }
+}
+
+/// Waits until the list is to be read again.
+async fn until_due(ctx: &Context) {
+    let read = ctx.now();
+    loop {
+        ctx.timer.after(CHECK_INTERVAL).await;
+        let now = ctx.now();
+        let gossip = ctx.gossip();
+        let period = if gossip.is_hub() {
+            PERIOD
+        } else {
+            MEMBER_PERIOD
         };
-        is_written |= result.is_ok();
-        ctx.timer.after(pause).await;
+        if gossip.is_list_short(now) || now.since(read) >= period {
+            return;
+        }
     }
 }
 
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -50,9 +50,8 @@
 /// The first and the greatest pause after a failed call; the pause doubles with each failure in a row.
 const STORE_BACKOFF: (Millis, Millis) = (Millis(100), Millis(800));
 
-/// The greatest pause after a failed call of a host that has a hub, which detects the return of the store for
-/// it.
-const MEMBER_BACKOFF: Millis = Millis(2_000);
+/// [`STORE_BACKOFF`] of a host that has a hub, which detects the return of the store for it.
+const MEMBER_BACKOFF: (Millis, Millis) = (Millis(500), Millis(2_000));
 
 /// How long a host that has just started waits for the list of hosts before it polls for changes, and how often
 /// it checks. Hosts that start together would otherwise all poll the store.
@@ -87,18 +86,20 @@
         sources: Sources::default(),
         is_from_hub: false,
     };
-    let mut backoff = STORE_BACKOFF.0;
+    let mut backoff = Millis(0);
     loop {
         match watch.step().await {
-            Ok(()) => backoff = STORE_BACKOFF.0,
+            Ok(()) => backoff = Millis(0),
             Err(CallError::Store(StoreError::Compacted)) => {
                 watch.log_change("compacted");
                 watch.revision = None;
             }
             Err(error) => {
                 watch.call_failed(&error);
+                let (first, longest) = watch.backoff_range();
+                backoff = backoff.max(first).min(longest);
                 watch.ctx.timer.after(backoff).await;
-                backoff = (backoff + backoff).min(watch.max_backoff());
+                backoff = backoff + backoff;
             }
         }
     }
@@ -131,10 +132,10 @@
         }
     }
 
-    /// The greatest pause after a failed call.
-    fn max_backoff(&self) -> Millis {
+    /// The first and the greatest pause after a failed call.
+    fn backoff_range(&self) -> (Millis, Millis) {
         if self.ctx.gossip().is_hub() {
-            STORE_BACKOFF.1
+            STORE_BACKOFF
         } else {
             MEMBER_BACKOFF
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -189,6 +189,16 @@
         self.local_hosts().filter(is_before).filter(is_responsive)
     }
 
+    /// Whether more hosts report their usage than the list has, so that it is to be read again.
+    pub fn is_list_short(&self, now: Millis) -> bool {
+        let reporting = if self.is_hub() {
+            self.sums_without(&self.host).hosts.saturating_add(1)
+        } else {
+            self.fresh_answer(now).map_or(1, |a| a.hosts)
+        };
+        reporting as usize > self.listed.len() + 1
+    }
+
     /// Whether the list of hosts has been read.
     pub fn is_listed(&self) -> bool {
         self.is_listed
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -262,6 +262,25 @@
     net.assert_sums(29);
 }
 
+/// Hosts that start together read the list before all have written their rows.
+#[test]
+fn short_list_is_noticed() {
+    let mut net = Net::new(30, 3);
+    let all: Vec<ListedPeer> = net.hosts.iter().map(Host::listed).collect();
+    let early = 7;
+    assert!(!net.hosts[early].gossip.is_hub());
+    net.hosts[early].gossip.set_hosts(all[..20].to_vec());
+    net.run(Millis(3_000));
+    let short = |net: &Net| -> Vec<usize> {
+        let is_short = |i: &usize| net.hosts[*i].gossip.is_list_short(net.now);
+        (0..30).filter(is_short).collect()
+    };
+    assert_eq!(short(&net), [early]);
+    net.hosts[early].gossip.set_hosts(all);
+    net.run(Millis(3_000));
+    assert_eq!(short(&net), []);
+}
+
 #[test]
 fn stopping_hub_is_replaced_at_once() {
     let mut net = Net::new(9, 3);
