gateway: the poll before a prompt recognises a restarted engine

Change: reports state the start of the engine. If it is later than that of the row, the health check tells the id, and the roster takes it as it takes an id from a rejected send: the old one gets no more requests, the new one gets some before its row comes only while the registry is away and only one service has engines. A restart under the old id stays in use. Test: store_unavailable restarted_engine_is_recognised (2 sends to engines that are gone without the change), server_rows observed_restart_under_same_id.

--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -60,10 +60,9 @@
 pub(crate) struct Server {
     child: Option<Child>,
     file: PathBuf,
+    /// The start time counts the incarnations from 1 and is part of the id.
     settings: worker::Settings,
     centre: &'static str,
-    /// Counts from 1; part of the id, and the start time in its row.
-    incarnation: u64,
     /// Whether it is listed as draining, or no longer listed.
     leaving: bool,
     pub(crate) proxy: Proxy,
@@ -166,6 +165,7 @@
             event_ms: 20,
             events: EVENTS,
             slots: 64,
+            born: 1,
             record: Some(self.run_folder.join(format!("server-{i}.runs"))),
         };
         let file = self.run_folder.join(format!("server-{i}.json"));
@@ -174,7 +174,6 @@
             file,
             settings,
             centre: CENTRES[i % CENTRES.len()],
-            incarnation: 1,
             leaving: false,
             proxy: Proxy::start(public, listen).await?,
         };
@@ -246,9 +245,9 @@
     pub(crate) async fn replace_server(&mut self, i: usize) -> Result<(), BenchError> {
         self.unlist(i).await?;
         let server = &mut self.servers[i];
-        server.incarnation += 1;
+        server.settings.born += 1;
         server.leaving = false;
-        server.settings.id = format!("server-{i}-{}", server.incarnation);
+        server.settings.id = format!("server-{i}-{}", server.settings.born);
         self.spawn_server(i)?;
         self.list(i).await
     }
@@ -304,7 +303,7 @@
             engine,
             server.centre,
             state,
-            server.incarnation,
+            server.settings.born,
         );
         self.put(documents::SERVERS, &server.settings.id, Some(row))
             .await
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -171,6 +171,13 @@
         (!member.is_replaced).then_some(member.entry.addr)
     }
 
+    /// Unix time at which a server started, in milliseconds; `None` if it is not listed or the time is not known.
+    pub fn start_time(&self, id: &BackendId) -> Option<u64> {
+        let fleet = self.lock();
+        let start_time = fleet.roster.get(id)?.entry.start_time;
+        (start_time > 0).then_some(start_time)
+    }
+
     /// Service of a server; `None` if it is not listed.
     pub fn service(&self, id: &BackendId) -> Option<ServiceName> {
         let fleet = self.lock();
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -97,34 +97,40 @@
 /// no other service has engines.
 pub async fn adopt(ctx: &Arc<Context>, old: &BackendId, new: &BackendId, link: &mut Link) {
     ctx.servers.record_unreachable(old, ctx.now());
-    let Some(service) = ctx
-        .servers
-        .service(old)
-        .filter(|_| ctx.servers.is_registry_unavailable())
-    else {
-        return;
-    };
-    let snapshot = ctx.snapshot.load();
-    let only = snapshot.as_ref().and_then(|s| s.sole_engine_service());
-    if only.is_none_or(|s| s.name != service) {
+    if !ctx.servers.is_registry_unavailable() || !is_sole_engine_service(ctx, old) {
         return;
     }
     let exchange = polling::fetch_report(link);
-    let Ok(Some(report)) = tokio::time::timeout(PROBE_TIMEOUT.duration(), exchange).await else {
+    if let Ok(Some(report)) = tokio::time::timeout(PROBE_TIMEOUT.duration(), exchange).await {
+        record_restart(ctx, old, new, report.start_time);
+    }
+}
+
+/// Records that an engine has restarted at the address of `old` as `new`, which may have the same id.
+///
+/// `old` gets no more requests unless it kept its id; `new` gets some before it is listed only while the
+/// registry is unavailable, see [`membership::Roster::adopt`].
+pub fn record_restart(ctx: &Context, old: &BackendId, new: &BackendId, start_time: u64) {
+    if !is_sole_engine_service(ctx, old) {
         return;
-    };
-    let change: &'static str = ctx
-        .servers
-        .lock()
-        .roster
-        .adopt(old, new, report.start_time)
-        .into();
+    }
+    let mut fleet = ctx.servers.lock();
+    let change: &'static str = fleet.roster.adopt(old, new, start_time).into();
+    fleet.record_restart(old);
+    drop(fleet);
     tracing::info!(
-        server = %new, before = %old, born = report.start_time, change,
+        server = %new, before = %old, born = start_time, change,
         "unregistered server answered at the address of another one"
     );
 }
 
+/// Whether the service of a server is the only one with engines, so that any engine at its address belongs to it.
+fn is_sole_engine_service(ctx: &Context, id: &BackendId) -> bool {
+    let snapshot = ctx.snapshot.load();
+    let only = snapshot.as_ref().and_then(|s| s.sole_engine_service());
+    only.is_some_and(|s| Some(&s.name) == ctx.servers.service(id).as_ref())
+}
+
 /// Waits until a server without output fails a probe or is no longer listed.
 pub async fn until_unreachable(ctx: &Context, id: &BackendId) {
     let mut last_activity = ctx.now();
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -6,10 +6,11 @@
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, Uri};
 use platform::kv_list;
 use platform::report::{self, Report};
+use platform::response;
 
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
@@ -27,7 +28,7 @@
 
 /// Leases a server for a prompt: polls a few, and chooses the one with the fewest waiting prompts.
 pub async fn place(ctx: &Arc<Context>, request: &PlacementRequest<'_>) -> Option<Lease> {
-    let ids = ctx
+    let mut ids = ctx
         .servers
         .shortlist(ctx.now(), request, POLL_SIZE * MAX_ROUNDS);
     if ids.len() < 2 {
@@ -45,8 +46,14 @@
         POLL_SIZE
     };
     let mut reports = Vec::with_capacity(ids.len());
-    for round in ids.chunks(poll_size) {
-        reports.extend(join_all(round.iter().map(|id| poll(ctx, id, &prompt))).await);
+    for round in ids.chunks_mut(poll_size) {
+        let answers = join_all(round.iter().map(|id| poll(ctx, id, &prompt))).await;
+        for (id, answer) in round.iter_mut().zip(answers) {
+            reports.push(answer.map(|a| {
+                *id = a.server;
+                a.report
+            }));
+        }
         if need.fits_any(&reports) {
             break;
         }
@@ -74,29 +81,42 @@
     cached_as: Option<u64>,
 }
 
-/// Polls one server; `None` if it does not answer.
-async fn poll(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<LoadReport> {
+/// The answer of a polled server.
+struct Answer {
+    /// The server; not the one that was polled if that has restarted under another id.
+    server: BackendId,
+    report: LoadReport,
+}
+
+/// Polls one server; `None` if it does not answer or another one that is not usable yet has replaced it.
+async fn poll(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<Answer> {
     let exchange = fetch(ctx, id, prompt);
-    let (report, cached) = match tokio::time::timeout(POLL_TIMEOUT.duration(), exchange).await {
-        Ok(answer) => answer?,
-        Err(_) => {
-            liveness::spawn_check(ctx, id);
-            return None;
-        }
-    };
+    let (server, report, cached) =
+        match tokio::time::timeout(POLL_TIMEOUT.duration(), exchange).await {
+            Ok(answer) => answer?,
+            Err(_) => {
+                liveness::spawn_check(ctx, id);
+                return None;
+            }
+        };
     // A report is some hundred milliseconds old and may not include this host's latest prompts.
-    let own = ctx.servers.prefill(id).div_ceil(prompt.tokens.max(1));
-    Some(LoadReport {
+    let own = ctx.servers.prefill(&server).div_ceil(prompt.tokens.max(1));
+    let report = LoadReport {
         waiting: report.queued.max(own),
         running: report.running,
         used: report.kv_used,
         cached,
-    })
+    };
+    Some(Answer { server, report })
 }
 
 /// Fetches a server's report, and how many tokens of the prompt it has cached, over an idle or a new
-/// connection.
-async fn fetch(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<(Report, u64)> {
+/// connection. Returns the server that answered with them.
+async fn fetch(
+    ctx: &Arc<Context>,
+    id: &BackendId,
+    prompt: &Prompt,
+) -> Option<(BackendId, Report, u64)> {
     let addr = ctx.servers.addr(id)?;
     let mut link = match send::connect(ctx, id, addr, POLL_TIMEOUT, "report").await {
         Ok(link) => link,
@@ -111,14 +131,44 @@
         }
     };
     let report = fetch_report(&mut link).await?;
+    let started = ctx.servers.start_time(id);
+    let server = if started.is_some_and(|at| at < report.start_time) {
+        restarted_server(ctx, id, &report, &mut link).await?
+    } else {
+        id.clone()
+    };
     let cached = match prompt.cached_as {
         Some(hash) => fetch_cached(&mut link, hash).await?,
         None => 0,
     };
     let now = ctx.now();
-    ctx.servers.record_activity(id, now);
-    ctx.servers.keep_idle(id, link, now, None);
-    Some((report, cached))
+    ctx.servers.record_activity(&server, now);
+    ctx.servers.keep_idle(&server, link, now, None);
+    Some((server, report, cached))
+}
+
+/// The server that has restarted at the address of `id`; `None` if it is not known or not usable.
+///
+/// A request sent to `id` would be rejected and cost a retry, at each host once.
+async fn restarted_server(
+    ctx: &Arc<Context>,
+    id: &BackendId,
+    report: &Report,
+    link: &mut Link,
+) -> Option<BackendId> {
+    let service = ctx.servers.service(id)?;
+    let path: Uri = {
+        let snapshot = ctx.snapshot.load();
+        let service = snapshot.as_ref()?.service(&service)?;
+        service.health.parse().ok()?
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path;
+    let (parts, body) = link.send(request).await.ok()?.into_parts();
+    body.collect().await.ok()?;
+    let server = response::server(&parts.headers)?;
+    liveness::record_restart(ctx, id, &server, report.start_time);
+    ctx.servers.addr(&server).map(|_| server)
 }
 
 /// Fetches how many tokens of the prompt part `content_hash` a server has cached, 0 if it keeps no list;
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -123,9 +123,15 @@
 
     /// Runs a backend server that is not listed yet.
     pub(crate) fn serve(&self, listener: TcpListener, id: &str, is_engine: bool) {
+        self.serve_since(listener, id, is_engine, 1);
+    }
+
+    /// Runs a backend server that is not listed yet and started at `born`.
+    pub(crate) fn serve_since(&self, listener: TcpListener, id: &str, is_engine: bool, born: u64) {
         let settings = worker::Settings {
             id: id.to_owned(),
             engine: is_engine,
+            born,
             ..worker::Settings::default()
         };
         let shared = self.shared.clone();
--- a/crates/gooseberry-gateway/tests/store_unavailable.rs
+++ b/crates/gooseberry-gateway/tests/store_unavailable.rs
@@ -2,6 +2,7 @@
 
 mod site;
 
+use gooseberry_gateway::metrics::Cause;
 use gooseberry_standin::faults::Switch;
 use hyper::StatusCode;
 use site::{Site, config, exchange, generation, request};
@@ -90,6 +91,38 @@
     assert_eq!(site.shared.runs("1")[0].headers["expect-instance"], "new");
 }
 
+/// An engine restarts at its address under another id while the store is away. No request is sent to the old id, as
+/// each host would have to spend a retry on each engine.
+#[tokio::test]
+async fn restarted_engine_is_recognised() {
+    let site = Site::bare().await;
+    for (old, new) in [("old-1", "new-1"), ("old-2", "new-2")] {
+        let listener = site::listener().await;
+        let addr = listener.local_addr().unwrap();
+        site.serve_since(listener, new, true, 2);
+        site.list(old, addr, true, "a", "ready");
+    }
+    site.configure(1, &config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 2)
+        .await;
+    outage(&site, true);
+    site.until("the outage is detected", || is_unavailable(&site))
+        .await;
+    for id in ["1", "2", "3"] {
+        let answer = site.send(generation(id, "/draft/a")).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        let runs = site.shared.runs(id);
+        assert!(
+            runs[0].headers["expect-instance"]
+                .as_bytes()
+                .starts_with(b"new")
+        );
+    }
+    let cause = Cause { cause: "moved" };
+    let moved = site.gateway.ctx.metrics.sends.get_or_create(&cause).get();
+    assert_eq!(moved, 0, "sends to an engine that is gone");
+}
+
 #[tokio::test]
 async fn host_registers_itself() {
     let site = Site::start().await;
--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -49,6 +49,8 @@
     pub events: u64,
     /// The maximum number of concurrent requests; more are rejected as not executed.
     pub slots: usize,
+    /// The time of its start in Unix milliseconds, which an engine reports.
+    pub born: u64,
     /// The file to which the id of each request is appended before it runs; `None` for no record.
     pub record: Option<PathBuf>,
 }
@@ -63,6 +65,7 @@
             event_ms: 5,
             events: 30,
             slots: 64,
+            born: 1,
             record: None,
         }
     }
@@ -187,6 +190,10 @@
     match request.uri().path() {
         "/faults" => return worker.faults.handle_request(request).await,
         "/report" if worker.settings.engine => return report(&worker),
+        "/healthz" => {
+            let headers = [("instance-id", worker.settings.id.as_str())];
+            return response(StatusCode::OK, &headers, "");
+        }
         "/kv-list" if worker.settings.engine => return list_cached(&worker),
         "/kv-move" if worker.settings.engine => return move_kv(&worker, request).await,
         _ => {}
@@ -381,7 +388,7 @@
     let running = *lock(&worker.running);
     let body = json!({
         "stage": "mixed", "busy": false, "seq": 0, "queued": 0, "running": running,
-        "kv-used": running * 6_000, "kv-total": 55_000, "handles": 0, "born": 1,
+        "kv-used": running * 6_000, "kv-total": 55_000, "handles": 0, "born": worker.settings.born,
     });
     reply::json(StatusCode::OK, &body)
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -171,11 +171,16 @@
     /// Marks `old` as replaced, and adds the unregistered server observed at its address if the registry is
     /// unavailable. The caller must have checked that both belong to the same service.
     ///
-    /// If no row follows within [`RECOVERY_GRACE`] of the registry's recovery, the server is dropped.
+    /// If no row follows within [`RECOVERY_GRACE`] of the registry's recovery, the server is dropped. A server
+    /// that has restarted under its old id stays in use.
     pub fn adopt(&mut self, old: &BackendId, id: &BackendId, start_time: u64) -> Change {
         let Some(held) = self.members.get_mut(old) else {
             return Change::None;
         };
+        if old == id {
+            held.entry.start_time = start_time;
+            return Change::Restarted;
+        }
         held.is_replaced = true;
         let entry = Entry {
             start_time,
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -106,6 +106,15 @@
     assert_eq!(change, Change::Restarted);
 }
 
+#[test]
+fn observed_restart_under_same_id() {
+    let mut roster = Roster::default();
+    let id = BackendId::from("i-1");
+    roster.put(id.clone(), entry(1, State::Serving, 10), 1);
+    assert_eq!(roster.adopt(&id, &id, 20), Change::Restarted);
+    assert!(usable(&roster, "i-1", 0));
+}
+
 #[test]
 fn adopted_during_outage() {
     let mut roster = Roster::default();
