--- a/crates/gooseberry-gateway/src/feed.rs
+++ b/crates/gooseberry-gateway/src/feed.rs
@@ -102,7 +102,7 @@
 pub struct Feeds {
     operator: watch::Sender<RecentChanges>,
     servers: watch::Sender<RecentChanges>,
-    /// When another host last polled this one, plus 1; 0 if none ever did.
+    /// When another host last polled this one for any table, plus 1; 0 if none ever did.
     last_poll: AtomicU64,
 }
 
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -53,9 +53,12 @@
 /// [`STORE_BACKOFF`] of a host that has a hub, which detects the return of the store for it.
 const MEMBER_BACKOFF: (Millis, Millis) = (Millis(500), Millis(2_000));
 
-/// How long a host that has just started waits for the list of hosts before it polls for changes, and how often
-/// it checks. Hosts that start together would otherwise all poll the store.
-const LIST_WAIT: (Millis, Millis) = (Millis(1_000), Millis(50));
+/// How long a host that has just started waits for the list of hosts before it polls for changes. Hosts that
+/// start together would otherwise all poll the store.
+const LIST_WAIT: Millis = Millis(1_000);
+
+/// How often it checks whether the list has been read.
+const LIST_CHECK: Millis = Millis(50);
 
 /// Synchronisation state of one table.
 struct TableWatch {
@@ -125,10 +128,9 @@
 
     /// Waits for the list of hosts, in which the hub is found, for at most [`LIST_WAIT`].
     async fn until_listed(&self) {
-        let (limit, interval) = LIST_WAIT;
-        let end = self.ctx.now() + limit;
+        let end = self.ctx.now() + LIST_WAIT;
         while !self.ctx.gossip().is_listed() && self.ctx.now() < end {
-            self.ctx.timer.after(interval).await;
+            self.ctx.timer.after(LIST_CHECK).await;
         }
     }
 
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -6,20 +6,22 @@
 //! centre and with the number of data centres.
 //!
 //! Hubs are not elected: each host uses the first listed host of its data centre, in an order common to all
-//! hosts that puts those with the most processor and network first, that is not marked unresponsive. While hosts disagree, a data centre has two hubs for a while,
+//! hosts that puts those with the most processor and network first, that is not marked unresponsive. While
+//! hosts disagree, a data centre has two hubs for a while,
 //! which send each other their sums. Each message is self-contained, so that lost, late and duplicate
 //! messages do no harm. A host that reaches no hub works with its own share of the budget.
 
 mod message;
+mod order;
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-use base::hash::rendezvous;
 use base::prelude::*;
 use base::sorted::Sorted;
 
 pub use message::{Body, FailedServer, Message, Usage, WINDOWS};
+use order::hub_order;
+pub use order::{ListedPeer, hub_priority};
 
 /// Reports and answers that were not renewed within this time expire.
 const REPORT_TTL: Millis = Millis(2_000);
@@ -39,19 +41,6 @@
 /// How long a failed server is included in messages.
 const FAILED_TTL: Millis = Millis(1_500);
 
-/// A row of the store's host list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedPeer {
-    /// The unique name, which also decides the order of hubs.
-    pub host: HostId,
-    /// The data centre whose hub it uses.
-    pub data_centre: DataCentre,
-    /// Address on which it receives messages.
-    pub addr: SocketAddr,
-    /// See [`hub_priority`]; 0 for a host whose row does not state it.
-    pub hub_priority: u64,
-}
-
 /// The usage of one service, summed over the hosts whose usage has been received.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SharedUsage {
@@ -584,29 +573,6 @@
     }
 }
 
-/// Priority of a host as the hub of its data centre; hosts of the highest one are hubs first.
-///
-/// A hub needs the processor to encode the changes of the servers' table for each member and the link to send
-/// them, so the priority is the product of `cores`, the share of a processor core, and `link_mbps`, the speed
-/// of the link in Mbit/s, in hundredths.
-pub fn hub_priority(cores: f64, link_mbps: f64) -> u64 {
-    (cores * link_mbps * 100.0) as u64
-}
-
-/// Sort key of hosts: by data centre, and within it the order in which hosts become its hub.
-type HubOrder<'a> = (&'a DataCentre, Reverse<u64>, u64, &'a HostId);
-
-fn hub_order<'a>(data_centre: &'a DataCentre, hub_priority: u64, host: &'a HostId) -> HubOrder<'a> {
-    let weight = rendezvous(data_centre.as_str(), host.as_str());
-    (data_centre, Reverse(hub_priority), weight, host)
-}
-
-impl ListedPeer {
-    fn hub_order(&self) -> HubOrder<'_> {
-        hub_order(&self.data_centre, self.hub_priority, &self.host)
-    }
-}
-
 fn to_each(addrs: Vec<SocketAddr>, message: &Message) -> Vec<(SocketAddr, Message)> {
     let messages = addrs.into_iter().map(|a| (a, message.clone()));
     messages.collect()
