gateway: a silent store is noticed when it returns, whatever pause its callers are in

Change: the pause counts from the start of the failed call (Backoff), and while the store is away polls are held for a quarter of the bound of leaving servers only, as a hub does. A member so asks its hub again at most 2 s after the return.

--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! input and output. Its decisions are made in `routing`, `relay`, `balance` and `membership`; the wire
 //! formats of the platform are in `platform`.
 
+pub mod backoff;
 pub mod backups;
 pub mod calls;
 pub mod context;
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -14,6 +14,7 @@
 use platform::store::{self, CONFIG_KEY, Row, Rows, StoreError, Table};
 use platform::{config, servers};
 
+use crate::backoff::Backoff;
 use crate::context::Context;
 use crate::feed::RecentChanges;
 use crate::store::{CallError, Store};
@@ -47,7 +48,7 @@
 /// 1 ms.
 const HUB_TIMEOUT: Millis = Millis(300);
 
-/// The first and the greatest pause after a failed call; the pause doubles with each failure in a row.
+/// The first and the longest pause between failed calls, see [`Backoff`].
 const STORE_BACKOFF: (Millis, Millis) = (Millis(100), Millis(800));
 
 /// [`STORE_BACKOFF`] of a host that has a hub, which detects the return of the store for it.
@@ -89,20 +90,20 @@
         sources: Sources::default(),
         is_from_hub: false,
     };
-    let mut backoff = Millis(0);
+    let mut backoff = Backoff::default();
     loop {
+        let started = watch.ctx.now();
         match watch.step().await {
-            Ok(()) => backoff = Millis(0),
+            Ok(()) => backoff.reset(),
             Err(CallError::Store(StoreError::Compacted)) => {
                 watch.log_change("compacted");
                 watch.revision = None;
             }
             Err(error) => {
                 watch.call_failed(&error);
-                let (first, longest) = watch.backoff_range();
-                backoff = backoff.max(first).min(longest);
-                watch.ctx.timer.after(backoff).await;
-                backoff = backoff + backoff;
+                let took = watch.ctx.now().since(started);
+                let pause = backoff.next(watch.backoff_range(), took);
+                watch.ctx.timer.after(pause).await;
             }
         }
     }
@@ -134,7 +135,7 @@
         }
     }
 
-    /// The first and the greatest pause after a failed call.
+    /// The first and the longest pause between failed calls.
     fn backoff_range(&self) -> (Millis, Millis) {
         if self.ctx.gossip().is_hub() {
             STORE_BACKOFF
@@ -146,11 +147,12 @@
     /// Polls the store for changes and publishes them to the hosts that poll this one.
     async fn poll_store(&mut self, revision: u64) -> Result<(), CallError> {
         let leave = self.ctx.limits.leave.0;
+        let short_hold = Millis(leave * HOLD_PERCENT_AS_HUB / 100);
         let (hold, percent) = if self.ctx.feeds.is_polled_since(self.ctx.now() - RECENT_POLL) {
-            (
-                Millis(leave * HOLD_PERCENT_AS_HUB / 100),
-                BATCH_PERCENT_AS_HUB,
-            )
+            (short_hold, BATCH_PERCENT_AS_HUB)
+        } else if self.is_unavailable {
+            // The store may still be silent, and its return is to be noticed soon.
+            (short_hold, BATCH_PERCENT)
         } else {
             (STORE_HOLD, BATCH_PERCENT)
         };
