gateway: a refusal for want of a server says why each one was left out

The lines could not tell a host that ejected the servers by its own failures from one that was misled by reports of others.

A line "no server can be chosen" gives the servers of the service that are listed, usable, ejected and suspected; the metric failed_connections counts connections that could not be opened, by purpose. No decision changes.

--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -48,6 +48,7 @@
             ..PlacementRequest::default()
         };
         let Some(lease) = ctx.servers.place(ctx.now(), &request) else {
+            job.log_no_server(ctx);
             return job.answer_failure(ctx, history.abandon(), "no_server", &FAILURE_TEXTS);
         };
         let time_left = job.time_left(ctx.now()).duration();
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -89,6 +89,19 @@
     pub is_resumed: bool,
 }
 
+/// How many servers of a service are listed and why some of them are not chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceCounts {
+    /// Servers in the registry.
+    pub listed: usize,
+    /// Of these, the ones that accept new requests.
+    pub usable: usize,
+    /// Of the usable ones, those ejected because this host failed to reach them.
+    pub ejected: usize,
+    /// Of the usable ones, those that another host reports as unreachable.
+    pub suspected: usize,
+}
+
 impl PlacementRequest<'_> {
     /// KV cache that a generation needs which starts from its prompt.
     pub fn need(&self) -> Need {
@@ -184,6 +197,23 @@
         Some(fleet.roster.get(id)?.entry.service.clone())
     }
 
+    /// Counts of the servers of a service, for logs.
+    pub fn counts(&self, now: Millis, service: &str) -> ServiceCounts {
+        let fleet = self.lock();
+        let mut counts = ServiceCounts::default();
+        let members = fleet.roster.iter();
+        for (id, member) in members.filter(|(_, m)| m.entry.service.as_str() == service) {
+            counts.listed += 1;
+            if member.is_usable(now) {
+                let candidate = fleet.candidate(now, id, &member.entry, 0);
+                counts.usable += 1;
+                counts.ejected += usize::from(candidate.is_ejected);
+                counts.suspected += usize::from(candidate.is_suspected);
+            }
+        }
+        counts
+    }
+
     /// Whether the registry is unavailable at present.
     pub fn is_registry_unavailable(&self) -> bool {
         self.lock().roster.is_unavailable()
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -83,6 +83,7 @@
             true
         }
         Err(error) => {
+            ctx.metrics.count_failed_connection("liveness");
             let silence = now.since(ctx.servers.last_activity(id));
             tracing::info!(server = %id, %addr, silence_ms = silence.0, %error, "liveness probe failed");
             report_unreachable(ctx, id, now);
--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub resumes: Family<Cause, Counter>,
     /// Connections opened to backend servers, by purpose.
     pub connections: Family<Cause, Counter>,
+    /// Connections to backend servers that could not be opened, by purpose.
+    pub failed_connections: Family<Cause, Counter>,
     /// Calls to the store, by outcome.
     pub store_calls: Family<Cause, Counter>,
     /// Polls of the hub of the data centre for changes of a table, by outcome.
@@ -76,6 +78,7 @@
             sends: Family::default(),
             resumes: Family::default(),
             connections: Family::default(),
+            failed_connections: Family::default(),
             store_calls: Family::default(),
             hub_calls: Family::default(),
             retry_waits: Family::default(),
@@ -115,6 +118,11 @@
             "Connections opened to backend servers, by purpose",
             self.connections.clone(),
         );
+        r.register(
+            "failed_connections",
+            "Connections to backend servers that could not be opened, by purpose",
+            self.failed_connections.clone(),
+        );
         r.register(
             "store_calls",
             "Calls to the store, by outcome",
@@ -182,6 +190,13 @@
         self.connections.get_or_create(&Cause { cause }).inc();
     }
 
+    /// Counts a connection to a backend server that could not be opened; `cause` is its purpose.
+    pub fn count_failed_connection(&self, cause: &'static str) {
+        self.failed_connections
+            .get_or_create(&Cause { cause })
+            .inc();
+    }
+
     /// Counts a call to the store; `cause` is its outcome.
     pub fn count_store_call(&self, cause: &'static str) {
         self.store_calls.get_or_create(&Cause { cause }).inc();
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// Logs that no server can be chosen, with the counts that tell the reasons apart.
+    pub fn log_no_server(&self, ctx: &Context) {
+        let counts = ctx.servers.counts(ctx.now(), self.plan.service.as_str());
+        tracing::info!(
+            id = %self.call.id, service = %self.plan.service, listed = counts.listed,
+            usable = counts.usable, ejected = counts.ejected, suspected = counts.suspected,
+            "no server can be chosen"
+        );
+    }
+
     /// Waits for the backoff after a rejection; returns `false` at once if there is no time for another send.
     pub async fn back_off(&self, ctx: &Context, history: &SendHistory) -> bool {
         let age = ctx.now().since(self.received);
@@ -225,7 +235,11 @@
         return Ok(link);
     }
     ctx.metrics.count_connection(cause);
-    Link::open(addr, timeout).await
+    let link = Link::open(addr, timeout).await;
+    if link.is_err() {
+        ctx.metrics.count_failed_connection(cause);
+    }
+    link
 }
 
 /// Error texts for a caller whose request no server answered.
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -145,7 +145,13 @@
                 .servers
                 .lease(now, &backup.server.id, self.load(false))
                 .ok_or(Some(Outcome::Unsent))?,
-            None => self.place().await.ok_or(None)?,
+            None => match self.place().await {
+                Some(lease) => lease,
+                None => {
+                    self.job.log_no_server(&self.ctx);
+                    return Err(None);
+                }
+            },
         };
         let target = self
             .place_backup(&lease, self.progress.forwarded() > 0)
