--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -3,6 +3,8 @@
 //! Each test file is a crate of its own and uses only some of these helpers.
 #![allow(dead_code)]
 
+pub(crate) mod cut;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
