--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -193,6 +193,7 @@
                 ready: on(7_001),
                 peers: on(7_002),
                 metrics: on(7_003),
+                tunnels: Some(on(7_004)),
             },
             store: store_proxy,
             retries: Retries {
--- a/crates/gooseberry-gateway/src/backups.rs
+++ b/crates/gooseberry-gateway/src/backups.rs
@@ -129,7 +129,7 @@
 
 /// Leases a reachable server for the backup of an attempt at `centre`, if possible in another data centre.
 pub async fn place_reachable(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     job: &Job,
     kv: KvDemand,
     centre: &DataCentre,
--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -12,6 +12,7 @@
 
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
+use crate::paths;
 use crate::reply::{self, Body};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
 
@@ -47,7 +48,7 @@
             avoid: &avoid,
             ..PlacementRequest::default()
         };
-        let Some(lease) = ctx.servers.place(ctx.now(), &request) else {
+        let Some(lease) = paths::place(ctx, &request) else {
             job.log_no_server(ctx);
             return job.answer_failure(ctx, history.abandon(), "no_server", &FAILURE_TEXTS);
         };
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 use base::prelude::*;
 use base::sorted::Sorted;
+use membership::TunnelHosts;
 use membership::gossip::Gossip;
 use relay::{Budget, SendHistory};
 use routing::Snapshot;
@@ -14,6 +15,7 @@
 
 use crate::feed::Feeds;
 use crate::fleet::Servers;
+use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::send::Job;
 
@@ -49,6 +51,10 @@
     gossip: Mutex<Gossip>,
     /// Wakes the digest sender to send before its next period.
     pub wake_gossip: Notify,
+    /// Wakes the task that tries lost paths to servers again.
+    pub paths_lost: Notify,
+    /// The hosts that are passed over when a tunnel is opened.
+    tunnels: Mutex<TunnelHosts>,
     /// Time limits set by the deployment.
     pub limits: Limits,
     /// Retry budget of a service that has had no requests yet.
@@ -76,6 +82,8 @@
             metrics: Metrics::default(),
             gossip: Mutex::new(gossip),
             wake_gossip: Notify::new(),
+            paths_lost: Notify::new(),
+            tunnels: Mutex::default(),
             limits,
             initial_budget: budget,
             budgets: Mutex::default(),
@@ -158,6 +166,18 @@
         self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the state of the hosts that open tunnels.
+    pub fn tunnels(&self) -> MutexGuard<'_, TunnelHosts> {
+        self.tunnels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a connection broke or stalled while a request was on it: the host of a tunnel may have failed.
+    pub fn record_broken(&self, link: &Link) {
+        if let Some(host) = link.tunnel {
+            self.tunnels().record_failed(self.now(), host);
+        }
+    }
+
     /// Records that the process begins to stop.
     pub fn stop(&self) {
         self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -1,5 +1,7 @@
 //! State of the backend servers at this host: registry rows, load, health and idle connections.
 
+mod paths;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -8,8 +10,8 @@
 use base::hash::short_hash;
 use base::prelude::*;
 use base::sorted::Sorted;
-use membership::Roster;
 use membership::roster::Entry;
+use membership::{Contact, Roster};
 
 use crate::link::Link;
 
@@ -39,6 +41,14 @@
     last_failure: Option<Millis>,
     /// Until when another host's report that it is unreachable is valid.
     suspected_until: Millis,
+    /// Whether other hosts reach it and this host's own connections to it fail.
+    has_failed_path: bool,
+    /// When this host's own connection to it last failed; `None` if none did.
+    last_refusal: Option<Millis>,
+    /// When it was last tried because a server of another data centre failed; `None` if it never was.
+    last_witness: Option<Millis>,
+    /// When this host last had another one check whether it has failed; `None` if it never did.
+    last_check: Option<Millis>,
     /// Idle connections, each with the time until which it may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -48,6 +58,8 @@
 pub struct Fleet {
     /// The registered servers.
     pub roster: Roster,
+    /// Whether this host's own connections reach the servers of each service.
+    contact: Contact,
     servers: Sorted<BackendId, Server>,
 }
 
@@ -184,6 +196,12 @@
         (!member.is_replaced).then_some(member.entry.addr)
     }
 
+    /// Data centre of a server; `None` if it is not listed.
+    pub fn centre(&self, id: &BackendId) -> Option<DataCentre> {
+        let fleet = self.lock();
+        Some(fleet.roster.get(id)?.entry.centre.clone())
+    }
+
     /// Unix time at which a server started, in milliseconds; `None` if it is not listed or the time is not known.
     pub fn start_time(&self, id: &BackendId) -> Option<u64> {
         let fleet = self.lock();
@@ -286,8 +304,12 @@
         server.idle.pop().map(|(link, _)| link)
     }
 
-    /// Keeps a connection for a later request; `timeout` is the idle timeout that the server states.
+    /// Keeps a connection for a later request, unless it is a tunnel; `timeout` is the idle timeout that the
+    /// server states.
     pub fn keep_idle(&self, id: &BackendId, link: Link, now: Millis, timeout: Option<Millis>) {
+        if link.tunnel.is_some() {
+            return;
+        }
         let until = now + timeout.map_or(DEFAULT_IDLE, |t| t - IDLE_MARGIN);
         let mut fleet = self.lock();
         if let Some(server) = fleet.servers.get_mut(id)
--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -39,6 +39,9 @@
     peers: SocketAddr,
     /// The data centre of the host.
     data_centre: DataCentre,
+    /// Address at which it opens tunnels; absent in rows of earlier versions.
+    #[serde(default)]
+    tunnels: Option<SocketAddr>,
     /// The host's priority as a hub; absent in rows of earlier versions.
     #[serde(default)]
     hub_priority: u64,
@@ -49,6 +52,7 @@
     let entry = Entry {
         peers: own.addr,
         data_centre: own.data_centre,
+        tunnels: own.tunnels,
         hub_priority: own.hub_priority,
     };
     // Serialising an address and a name to JSON cannot fail.
@@ -136,6 +140,7 @@
         host: HostId::from(row.key.as_str()),
         data_centre: entry.data_centre,
         addr: entry.peers,
+        tunnels: entry.tunnels,
         hub_priority: entry.hub_priority,
     })
 }
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -18,8 +18,8 @@
 /// supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long sent data may remain unacknowledged before the kernel closes the connection.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long sent data to a backend server, the store or another host may remain unacknowledged before the kernel closes the connection.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Reason why a request has no response.
 #[derive(Debug)]
@@ -37,6 +37,8 @@
     driver: AbortHandle,
     /// Whether a request has been sent on it.
     pub is_used: bool,
+    /// Address of the host that opened it as a tunnel; `None` for a connection of this host's own.
+    pub tunnel: Option<SocketAddr>,
 }
 
 impl Link {
@@ -50,18 +52,28 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         tune(&stream, Some(USER_TIMEOUT));
+        Self::over(stream, None).await
+    }
+
+    /// Sends requests over an open connection, which the host at `tunnel` may have opened as a tunnel.
+    ///
+    /// # Errors
+    ///
+    /// The error of the HTTP client, which does not occur on an open connection.
+    pub async fn over(stream: TcpStream, tunnel: Option<SocketAddr>) -> io::Result<Self> {
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
-                tracing::debug!(%addr, %error, "connection closed with an error");
+                tracing::debug!(%error, "connection closed with an error");
             }
         });
         Ok(Self {
             sender,
             driver: task.abort_handle(),
             is_used: false,
+            tunnel,
         })
     }
 
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -11,7 +11,7 @@
 
 use crate::context::Context;
 use crate::link::Link;
-use crate::polling;
+use crate::{paths, polling};
 
 /// A server that processes a prompt and has sent nothing for this time is probed.
 const PROBE_IDLE: Millis = Millis(600);
@@ -25,30 +25,61 @@
 /// Maximum number of neighbours probed after a server fails; bounds the load when many hosts probe at once.
 const MAX_PROBES: usize = 8;
 
-/// Records and reports a server that is unreachable or unresponsive, and probes its neighbours in the background.
+/// Handles a connection to a server that broke, or on which a request got no answer.
+///
+/// A server that this host reaches through others is probed first: the path may have failed instead.
 pub fn handle_failure(ctx: &Arc<Context>, id: &BackendId) {
+    if ctx.servers.is_indirect(id) {
+        spawn_probe(ctx, id);
+    } else {
+        handle_unreachable(ctx, id);
+    }
+}
+
+/// Records and reports a server that is unreachable or unresponsive, and probes its neighbours in the background.
+pub fn handle_unreachable(ctx: &Arc<Context>, id: &BackendId) {
     let now = ctx.now();
     report_unreachable(ctx, id, now);
-    for (id, addr) in ctx
+    if ctx.servers.is_indirect(id) {
+        return;
+    }
+    for (id, _) in ctx
         .servers
         .neighbours_to_probe(id, now, RECENT_ACTIVITY, MAX_PROBES)
     {
-        let ctx = Arc::clone(ctx);
-        tokio::spawn(async move {
-            probe(&ctx, &id, addr, PROBE_TIMEOUT).await;
-        });
+        spawn_probe(ctx, &id);
     }
 }
 
+fn spawn_probe(ctx: &Arc<Context>, id: &BackendId) {
+    let Some(addr) = ctx.servers.addr(id) else {
+        return;
+    };
+    let (ctx, id) = (Arc::clone(ctx), id.clone());
+    tokio::spawn(async move {
+        probe(&ctx, &id, addr, PROBE_TIMEOUT).await;
+    });
+}
+
 /// Records a server as unreachable and reports it to the other hosts.
-fn report_unreachable(ctx: &Context, id: &BackendId, now: Millis) {
+///
+/// A host without contact to the server's service reports nothing: the others would avoid sound servers.
+pub fn report_unreachable(ctx: &Context, id: &BackendId, now: Millis) {
     ctx.servers.record_unreachable(id, now);
+    if ctx.servers.is_contact_lost(id) {
+        return;
+    }
     ctx.gossip().server_failed(now, short_hash(id.as_str()));
     ctx.wake_gossip.notify_one();
 }
 
 /// Whether a server is reachable: it sent data within `recent`, or accepts a connection within `timeout`.
-pub async fn is_reachable(ctx: &Context, id: &BackendId, recent: Millis, timeout: Millis) -> bool {
+pub async fn is_reachable(
+    ctx: &Arc<Context>,
+    id: &BackendId,
+    recent: Millis,
+    timeout: Millis,
+) -> bool {
     let now = ctx.now();
     if now.since(ctx.servers.last_activity(id)) < recent
         && ctx.servers.is_up_since(id, now - recent)
@@ -65,16 +96,17 @@
 pub fn spawn_check(ctx: &Arc<Context>, id: &BackendId) {
     let (ctx, id) = (Arc::clone(ctx), id.clone());
     tokio::spawn(async move {
-        if !is_reachable(&ctx, &id, RECENT_ACTIVITY, PROBE_TIMEOUT).await {
+        if !is_reachable(&ctx, &id, RECENT_ACTIVITY, PROBE_TIMEOUT).await
+            && !ctx.servers.is_indirect(&id)
+        {
             handle_failure(&ctx, &id);
         }
     });
 }
 
 /// Probes a server; returns whether it accepted a connection. Reports it to the other hosts if it did not.
-async fn probe(ctx: &Context, id: &BackendId, addr: SocketAddr, timeout: Millis) -> bool {
-    ctx.metrics.count_connection("liveness");
-    let connected = Link::open(addr, timeout).await;
+async fn probe(ctx: &Arc<Context>, id: &BackendId, addr: SocketAddr, timeout: Millis) -> bool {
+    let connected = paths::open(ctx, id, addr, timeout, "liveness").await;
     let now = ctx.now();
     match connected {
         Ok(link) => {
@@ -83,7 +115,6 @@
             true
         }
         Err(error) => {
-            ctx.metrics.count_failed_connection("liveness");
             let silence = now.since(ctx.servers.last_activity(id));
             tracing::info!(server = %id, %addr, silence_ms = silence.0, %error, "liveness probe failed");
             report_unreachable(ctx, id, now);
@@ -133,7 +164,10 @@
 }
 
 /// Waits until a server without output fails a probe or is no longer listed.
-pub async fn until_unreachable(ctx: &Context, id: &BackendId) {
+///
+/// Also ends when connections opened before now turn out to hang, even though the server runs.
+pub async fn until_unreachable(ctx: &Arc<Context>, id: &BackendId) {
+    let started = ctx.now();
     let mut last_activity = ctx.now();
     loop {
         last_activity = last_activity.max(ctx.servers.last_activity(id));
@@ -144,6 +178,9 @@
         let Some(addr) = ctx.servers.addr(id) else {
             return;
         };
+        if ctx.servers.hangs_since(id, started) {
+            return;
+        }
         if !probe(ctx, id, addr, PROBE_TIMEOUT).await {
             return;
         }
--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -47,6 +47,12 @@
     pub connections: Family<Cause, Counter>,
     /// Connections to backend servers that could not be opened, by purpose.
     pub failed_connections: Family<Cause, Counter>,
+    /// Tunnels to backend servers asked of other hosts, by outcome.
+    pub tunnels: Family<Cause, Counter>,
+    /// Tunnels to backend servers that are open for other hosts now.
+    pub served_tunnels: Gauge,
+    /// How often this host lost contact with all servers of a service.
+    pub lost_contacts: Counter,
     /// Calls to the store, by outcome.
     pub store_calls: Family<Cause, Counter>,
     /// Polls of the hub of the data centre for changes of a table, by outcome.
@@ -79,6 +85,9 @@
             resumes: Family::default(),
             connections: Family::default(),
             failed_connections: Family::default(),
+            tunnels: Family::default(),
+            served_tunnels: Gauge::default(),
+            lost_contacts: Counter::default(),
             store_calls: Family::default(),
             hub_calls: Family::default(),
             retry_waits: Family::default(),
@@ -123,6 +132,21 @@
             "Connections to backend servers that could not be opened, by purpose",
             self.failed_connections.clone(),
         );
+        r.register(
+            "tunnels",
+            "Tunnels to backend servers asked of other hosts, by outcome",
+            self.tunnels.clone(),
+        );
+        r.register(
+            "served_tunnels",
+            "Tunnels to backend servers that are open for other hosts",
+            self.served_tunnels.clone(),
+        );
+        r.register(
+            "lost_contacts",
+            "Losses of contact with all backend servers of a service",
+            self.lost_contacts.clone(),
+        );
         r.register(
             "store_calls",
             "Calls to the store, by outcome",
@@ -197,6 +221,11 @@
             .inc();
     }
 
+    /// Counts a tunnel asked of another host; `cause` is the outcome.
+    pub fn count_tunnel(&self, cause: &'static str) {
+        self.tunnels.get_or_create(&Cause { cause }).inc();
+    }
+
     /// Counts a call to the store; `cause` is its outcome.
     pub fn count_store_call(&self, cause: &'static str) {
         self.store_calls.get_or_create(&Cause { cause }).inc();
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -15,7 +15,7 @@
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
 use crate::link::Link;
-use crate::{liveness, send};
+use crate::{liveness, paths, send};
 
 /// Number of servers polled at once for one placement.
 const POLL_SIZE: usize = 3;
@@ -32,7 +32,7 @@
         .servers
         .shortlist(ctx.now(), request, POLL_SIZE * MAX_ROUNDS);
     if ids.len() < 2 {
-        return ctx.servers.place(ctx.now(), request);
+        return paths::place(ctx, request);
     }
     let need = request.need();
     let prompt = Prompt {
@@ -70,7 +70,7 @@
         ..request.load
     };
     let lease = ctx.servers.lease(ctx.now(), &ids[chosen], load);
-    lease.or_else(|| ctx.servers.place(ctx.now(), request))
+    lease.or_else(|| paths::place(ctx, request))
 }
 
 /// A prompt to be placed.
@@ -126,7 +126,7 @@
         }
         Err(error) => {
             tracing::info!(server = %id, %error, "server not reachable");
-            liveness::handle_failure(ctx, id);
+            liveness::handle_unreachable(ctx, id);
             return None;
         }
     };
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::context::{Context, Limits};
 use crate::reply::{self, Body};
 use crate::store::Store;
-use crate::{feed, gossip, hosts, serve, sync};
+use crate::{feed, gossip, hosts, paths, serve, sync, tunnel};
 
 /// The number of hosts among which the fixed part of the retry budget is divided until the host list is
 /// read; the smallest deployment has 8.
@@ -131,12 +131,17 @@
     let (callers, callers_addr) = bind(settings.listen.callers).await?;
     let (ready, ready_addr) = bind(settings.listen.ready).await?;
     let (metrics, metrics_addr) = bind(settings.listen.metrics).await?;
+    let tunnels = match settings.listen.tunnels {
+        Some(addr) => Some(bind(addr).await?),
+        None => None,
+    };
     let (peer_calls, socket, peers) = bind_peers(settings.listen.peers).await?;
     let listen = Listen {
         callers: callers_addr,
         ready: ready_addr,
         peers,
         metrics: metrics_addr,
+        tunnels: tunnels.as_ref().map(|(_, addr)| *addr),
     };
     tracing::info!(
         %host, data_centre = %settings.data_centre, store = %settings.store,
@@ -155,12 +160,17 @@
             host: host.clone(),
             data_centre,
             addr: peers,
+            tunnels: listen.tunnels,
             hub_priority,
         },
     ));
     tasks.spawn(gossip::send_reports(Arc::clone(&ctx), Arc::clone(&socket)));
     tasks.spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
     tasks.spawn(feed::serve(Arc::clone(&ctx), peer_calls));
+    tasks.spawn(paths::watch(Arc::clone(&ctx)));
+    if let Some((listener, _)) = tunnels {
+        tasks.spawn(tunnel::serve::accept(Arc::clone(&ctx), listener));
+    }
     tasks.spawn(serve::accept(Arc::clone(&ctx), callers));
     tasks.spawn(serve_operators(Arc::clone(&ctx), ready, readiness));
     let text = move |ctx: &Context| {
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -18,8 +18,8 @@
 use crate::context::{Context, InFlight};
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
-use crate::liveness;
 use crate::reply::{self, Body};
+use crate::{liveness, paths};
 
 /// Time limit for opening a connection; within a data centre it takes a few milliseconds.
 const CONNECT_TIMEOUT: Millis = Millis(250);
@@ -176,6 +176,7 @@
         Ok(response) => response,
         Err(SendError::Unsent) => return Err(Outcome::Unsent),
         Err(SendError::Broken(_)) => {
+            ctx.record_broken(&link);
             liveness::handle_failure(ctx, &lease.id);
             return Err(Outcome::Broken);
         }
@@ -196,6 +197,10 @@
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
+    // The end of such a body cannot be told from that of the host which passes it on.
+    if head.ends_by_close && link.tunnel.is_some() {
+        return Err(Outcome::Broken);
+    }
     if head.status.is_success() && !head.is_sealed {
         return Err(Outcome::Broken);
     }
@@ -212,7 +217,7 @@
     match connect(ctx, &lease.id, lease.addr, CONNECT_TIMEOUT, "request").await {
         Ok(link) => Ok(link),
         Err(error) => {
-            liveness::handle_failure(ctx, &lease.id);
+            liveness::handle_unreachable(ctx, &lease.id);
             tracing::info!(server = %lease.id, addr = %lease.addr, %error, "server not reachable");
             Err(Outcome::Unsent)
         }
@@ -225,7 +230,7 @@
 ///
 /// The operating system's error, or `TimedOut` after `timeout`.
 pub async fn connect(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     id: &BackendId,
     addr: SocketAddr,
     timeout: Millis,
@@ -234,12 +239,7 @@
     if let Some(link) = ctx.servers.take_idle(id, ctx.now()) {
         return Ok(link);
     }
-    ctx.metrics.count_connection(cause);
-    let link = Link::open(addr, timeout).await;
-    if link.is_err() {
-        ctx.metrics.count_failed_connection(cause);
-    }
-    link
+    paths::open(ctx, id, addr, timeout, cause).await
 }
 
 /// Error texts for a caller whose request no server answered.
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -24,6 +24,7 @@
 use crate::link::Link;
 use crate::liveness;
 use crate::metrics::Cause;
+use crate::paths;
 use crate::polling;
 use crate::reply::{Body, StreamCut};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
@@ -311,6 +312,7 @@
             return;
         };
         let now = self.ctx.now();
+        self.ctx.record_broken(&attempt.link);
         liveness::handle_failure(&self.ctx, &attempt.lease.id);
         tracing::info!(
             id = %self.job.call.id, server = %attempt.lease.id, %outcome, last = ?self.progress.last_id(),
@@ -382,7 +384,7 @@
             is_resumed: self.progress.last_id().is_some(),
         };
         if self.kv.capacity == 0 {
-            return self.ctx.servers.place(self.ctx.now(), &request);
+            return paths::place(&self.ctx, &request);
         }
         polling::place(&self.ctx, &request).await
     }
@@ -458,13 +460,15 @@
 }
 
 /// Waits until the server of a stream without events since `idle_since` fails a probe.
-async fn until_unreachable(ctx: &Context, id: &BackendId, idle_since: Millis) {
+async fn until_unreachable(ctx: &Arc<Context>, id: &BackendId, idle_since: Millis) {
     loop {
         // The server may have sent events of another stream meanwhile.
         ctx.timer
             .at(probe_time(idle_since, ctx.servers.last_activity(id)))
             .await;
-        if !liveness::is_reachable(ctx, id, PROBE_IDLE, PROBE_TIMEOUT).await {
+        if !liveness::is_reachable(ctx, id, PROBE_IDLE, PROBE_TIMEOUT).await
+            || ctx.servers.hangs_since(id, idle_since)
+        {
             return;
         }
     }
--- /dev/null
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -0,0 +1,213 @@
+//! Tunnels to backend servers through other hosts, by the `CONNECT` method of HTTP.
+//!
+//! The host at the other end connects to the server and then passes bytes on unread; it neither chooses a
+//! server nor repeats a request. All that is decided about a request stays with the host that its caller
+//! reached: the server, the time limit, retries and their budget, and what the caller is told. A host opens
+//! tunnels over its own connections only, so that no tunnel leads through another one. A tunnel carries one
+//! request and is not kept afterwards, so that a host that stops has to wait for requests only.
+
+pub mod serve;
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper::header::HeaderName;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use membership::tunnels::TunnelRequest;
+use strum::{Display, EnumString, IntoStaticStr};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::context::Context;
+use crate::link::{self, Link};
+
+/// Names the server that a tunnel leads to.
+const SERVER: HeaderName = HeaderName::from_static("backend-server");
+
+/// Says why a host does not open a tunnel, as a [`Refusal`].
+const REFUSAL: HeaderName = HeaderName::from_static("tunnel-refusal");
+
+/// Time limit for a host to accept a connection.
+const CONNECT_TIMEOUT: Millis = Millis(100);
+
+/// Time limit for a host to open a tunnel; longer than that host's limit for its connection to the server.
+const HOST_TIMEOUT: Millis = Millis(250);
+
+/// A host that takes longer to answer is passed over.
+const SLOW_ANSWER: Millis = Millis(100);
+
+/// Maximum number of hosts tried for one tunnel.
+const MAX_HOSTS: usize = 4;
+
+/// Hosts that must fail to reach a server before it counts as unreachable, if that many answer.
+const MIN_REFUSALS: usize = 2;
+
+/// Why a host does not open a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// The server does not accept its connection, though others of the service do.
+    Unreachable,
+    /// It reaches no server of the service itself.
+    NoContact,
+    /// It does not know the server.
+    Unknown,
+    /// It has too many tunnels open.
+    Busy,
+    /// It is stopping.
+    Stopping,
+    /// The answer is none of the above, as from another version.
+    Unreadable,
+}
+
+/// Why no tunnel could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum TunnelError {
+    /// Other hosts do not reach the server either.
+    #[error("other hosts do not reach the server either")]
+    Unreachable,
+    /// No host opens tunnels at present.
+    #[error("no other host opens a tunnel to the server")]
+    NoHost,
+}
+
+/// Opens a tunnel to a server through one of the other hosts.
+///
+/// # Errors
+///
+/// A [`TunnelError`]; nothing has been sent to the server then.
+pub async fn open(ctx: &Context, id: &BackendId) -> Result<Link, TunnelError> {
+    let (Some(addr), Some(centre)) = (ctx.servers.addr(id), ctx.servers.centre(id)) else {
+        return Err(TunnelError::Unreachable);
+    };
+    let hosts = ctx.gossip().tunnel_hosts();
+    let mut tried = Vec::new();
+    let mut refusals = 0;
+    while tried.len() < MAX_HOSTS && refusals < MIN_REFUSALS {
+        let request = TunnelRequest {
+            server_centre: &centre,
+            own_centre: &ctx.data_centre,
+            tried: &tried,
+            seed: rand::random(),
+        };
+        let Some(host) = ctx.tunnels().choose(ctx.now(), &hosts, &request).cloned() else {
+            break;
+        };
+        tried.push(host.addr);
+        match open_through(ctx, host.addr, id, addr).await {
+            Ok(link) => return Ok(link),
+            Err(Some(Refusal::Unreachable)) => refusals += 1,
+            Err(_) => {}
+        }
+    }
+    if refusals > 0 {
+        return Err(TunnelError::Unreachable);
+    }
+    tracing::info!(
+        server = %id, hosts = hosts.len(), tried = tried.len(),
+        "no host opens a tunnel to the server"
+    );
+    Err(TunnelError::NoHost)
+}
+
+/// A host that is asked for a tunnel. It is passed over for a while if it has not answered within
+/// [`SLOW_ANSWER`] when its answer is no longer awaited.
+struct Pending<'a> {
+    ctx: &'a Context,
+    host: SocketAddr,
+    since: Millis,
+    is_answered: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        let now = self.ctx.now();
+        if !self.is_answered && now.since(self.since) >= SLOW_ANSWER {
+            self.ctx.tunnels().record_failed(now, self.host);
+        }
+    }
+}
+
+/// Opens a tunnel through the host at `host` and records the outcome.
+///
+/// # Errors
+///
+/// The host's refusal; `None` if it did not answer.
+async fn open_through(
+    ctx: &Context,
+    host: SocketAddr,
+    id: &BackendId,
+    addr: SocketAddr,
+) -> Result<Link, Option<Refusal>> {
+    let mut pending = Pending {
+        ctx,
+        host,
+        since: ctx.now(),
+        is_answered: false,
+    };
+    let exchange = connect(host, id, addr);
+    let result = match tokio::time::timeout(HOST_TIMEOUT.duration(), exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(None),
+    };
+    pending.is_answered = true;
+    match &result {
+        Ok(_) => {
+            ctx.tunnels().record_opened(host);
+            ctx.metrics.count_tunnel("opened");
+            tracing::debug!(server = %id, %host, "tunnel opened");
+        }
+        Err(refusal) => {
+            let cause = refusal.map_or("silent", Into::into);
+            // A host that answers for the server alone can open tunnels to others.
+            if !matches!(refusal, Some(Refusal::Unreachable | Refusal::Unknown)) {
+                ctx.tunnels().record_failed(ctx.now(), host);
+            }
+            ctx.metrics.count_tunnel(cause);
+            tracing::debug!(server = %id, %host, cause, "tunnel not opened");
+        }
+    }
+    result
+}
+
+/// Asks the host at `host` for a tunnel to a server.
+async fn connect(
+    host: SocketAddr,
+    id: &BackendId,
+    addr: SocketAddr,
+) -> Result<Link, Option<Refusal>> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(host));
+    let connected = connecting.await.map_err(|_| None)?;
+    let stream = connected.map_err(|_| None)?;
+    link::tune(&stream, Some(link::USER_TIMEOUT));
+    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(|_| None)?;
+    let _driver = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = connection.with_upgrades().await {
+            tracing::debug!(%error, "connection for a tunnel closed with an error");
+        }
+    }));
+    let request = Request::connect(addr.to_string()).header(SERVER, id.as_str());
+    let request = request.body(Empty::new()).map_err(|_| None)?;
+    let response = sender.send_request(request).await.map_err(|_| None)?;
+    if response.status() != StatusCode::OK {
+        let refusal = response.headers().get(REFUSAL);
+        let text = refusal.and_then(|r| r.to_str().ok()).unwrap_or_default();
+        return Err(Some(text.parse().unwrap_or(Refusal::Unreadable)));
+    }
+    let upgraded = hyper::upgrade::on(response).await.map_err(|_| None)?;
+    let parts = upgraded
+        .downcast::<TokioIo<TcpStream>>()
+        .map_err(|_| None)?;
+    // The server has no request yet, so that bytes from it belong to none.
+    if !parts.read_buf.is_empty() {
+        return Err(None);
+    }
+    let stream = parts.io.into_inner();
+    Link::over(stream, Some(host)).await.map_err(|_| None)
+}
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -265,6 +265,7 @@
             ready: any,
             peers: any,
             metrics: any,
+            tunnels: Some(any),
         },
         store,
         retries: Retries {
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -23,6 +23,8 @@
 use order::hub_order;
 pub use order::{ListedPeer, hub_priority};
 
+use crate::tunnels::TunnelHost;
+
 /// Reports and answers that were not renewed within this time expire.
 const REPORT_TTL: Millis = Millis(2_000);
 
@@ -209,6 +211,17 @@
         !self.members.is_empty()
     }
 
+    /// The other hosts that open tunnels to backend servers, as far as the list has been read.
+    pub fn tunnel_hosts(&self) -> Vec<TunnelHost> {
+        let offers = self.listed.iter().filter_map(|l| {
+            Some(TunnelHost {
+                addr: l.tunnels?,
+                centre: l.data_centre.clone(),
+            })
+        });
+        offers.collect()
+    }
+
     fn local_hosts(&self) -> impl Iterator<Item = &ListedPeer> {
         let is_local = |l: &&ListedPeer| l.data_centre == self.data_centre;
         self.listed.iter().filter(is_local)
--- a/crates/membership/src/gossip/order.rs
+++ b/crates/membership/src/gossip/order.rs
@@ -15,6 +15,8 @@
     pub data_centre: DataCentre,
     /// Address on which it receives messages.
     pub addr: SocketAddr,
+    /// Address at which it opens tunnels to backend servers; `None` if it does not.
+    pub tunnels: Option<SocketAddr>,
     /// See [`hub_priority`]; 0 for a host whose row does not state it.
     pub hub_priority: u64,
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //! its outputs are the heartbeats and polls to send and the merged view of all members.
 
 pub mod backends;
+pub mod contact;
 pub mod gossip;
 pub mod heartbeat;
 pub mod hosts;
@@ -13,8 +14,11 @@
 pub mod policy;
 pub mod roster;
 pub mod sources;
+pub mod tunnels;
 
+pub use contact::Contact;
 pub use heartbeat::Heartbeat;
 pub use members::Members;
 pub use policy::Policy;
 pub use roster::Roster;
+pub use tunnels::TunnelHosts;
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -159,6 +159,7 @@
 impl Host {
     fn listed(&self) -> ListedPeer {
         ListedPeer {
+            tunnels: None,
             hub_priority: self.hub_priority,
             host: self.name.clone(),
             data_centre: self.data_centre.clone(),
--- a/crates/membership/tests/table_sources.rs
+++ b/crates/membership/tests/table_sources.rs
@@ -51,6 +51,7 @@
         host: HostId::from(format!("host-{i}").as_str()),
         data_centre: DataCentre::from("a"),
         addr: addr(i),
+        tunnels: None,
         hub_priority: hub_priority(0.12, f64::from(20 * (i % 3))),
     };
     let all: Vec<ListedPeer> = (0..12).map(peer).collect();
--- /dev/null
+++ b/crates/membership/tests/tunnel_hosts.rs
@@ -0,0 +1,89 @@
+//! The choice of the host that opens a tunnel.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use membership::tunnels::{TunnelHost, TunnelHosts, TunnelRequest};
+
+/// Tunnels drawn to see how they spread.
+const DRAWS: u64 = 3_000;
+
+fn addr(i: u8) -> SocketAddr {
+    ([10, 0, 0, i], 7).into()
+}
+
+/// Hosts of the data centres `a`, `b` and `c`, in turn.
+fn hosts(count: u8) -> Vec<TunnelHost> {
+    let centre = |i: u8| DataCentre::from(["a", "b", "c"][usize::from(i % 3)]);
+    let host = |i| TunnelHost {
+        addr: addr(i),
+        centre: centre(i),
+    };
+    (0..count).map(host).collect()
+}
+
+/// The host chosen for a server in `b`, by a host in `a`.
+fn choose(state: &TunnelHosts, now: u64, hosts: &[TunnelHost], tried: &[u8]) -> Option<SocketAddr> {
+    choose_by(state, now, hosts, tried, 1)
+}
+
+fn choose_by(
+    state: &TunnelHosts,
+    now: u64,
+    hosts: &[TunnelHost],
+    tried: &[u8],
+    seed: u64,
+) -> Option<SocketAddr> {
+    let tried: Vec<SocketAddr> = tried.iter().map(|i| addr(*i)).collect();
+    let request = TunnelRequest {
+        server_centre: &DataCentre::from("b"),
+        own_centre: &DataCentre::from("a"),
+        tried: &tried,
+        seed,
+    };
+    state.choose(Millis(now), hosts, &request).map(|h| h.addr)
+}
+
+#[test]
+fn data_centre_of_the_server_first() {
+    let (state, hosts) = (TunnelHosts::default(), hosts(3));
+    assert_eq!(choose(&state, 0, &hosts, &[]), Some(addr(1)));
+    assert_eq!(choose(&state, 0, &hosts, &[1]), Some(addr(0)));
+    assert_eq!(choose(&state, 0, &hosts, &[1, 0]), Some(addr(2)));
+    assert_eq!(choose(&state, 0, &hosts, &[1, 0, 2]), None);
+}
+
+#[test]
+fn tunnels_are_spread() {
+    let (state, hosts) = (TunnelHosts::default(), hosts(30));
+    let mut counts = [0_u64; 30];
+    for seed in 0..DRAWS {
+        let SocketAddr::V4(host) = choose_by(&state, 0, &hosts, &[], seed).unwrap() else {
+            unreachable!("all addresses are IPv4");
+        };
+        counts[usize::from(host.ip().octets()[3])] += 1;
+    }
+    let used: Vec<u64> = counts.into_iter().filter(|c| *c > 0).collect();
+    assert_eq!(used.len(), 10, "the hosts of the server's data centre");
+    assert!(used.iter().all(|c| *c < 2 * DRAWS / 10), "{used:?}");
+}
+
+#[test]
+fn failed_host_is_passed_over() {
+    let (mut state, hosts) = (TunnelHosts::default(), hosts(2));
+    state.record_failed(Millis(0), addr(1));
+    assert_eq!(choose(&state, 499, &hosts, &[]), Some(addr(0)));
+    assert_eq!(choose(&state, 500, &hosts, &[]), Some(addr(1)));
+    state.record_failed(Millis(500), addr(1));
+    assert_eq!(choose(&state, 1_499, &hosts, &[]), Some(addr(0)));
+    for _ in 0..9 {
+        state.record_failed(Millis(1_500), addr(1));
+    }
+    assert_eq!(choose(&state, 5_500, &hosts, &[]), Some(addr(1)));
+    state.record_opened(addr(1));
+    state.record_failed(Millis(6_000), addr(1));
+    assert_eq!(choose(&state, 6_500, &hosts, &[]), Some(addr(1)));
+    state.record_failed(Millis(7_000), addr(0));
+    state.record_failed(Millis(7_000), addr(1));
+    assert_eq!(choose(&state, 7_001, &hosts, &[]), None, "refused at once");
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -47,6 +47,10 @@
     pub peers: SocketAddr,
     /// Address that serves metrics.
     pub metrics: SocketAddr,
+    /// TCP address at which other hosts open tunnels to backend servers that they do not reach themselves;
+    /// without it the host opens none for them.
+    #[serde(default)]
+    pub tunnels: Option<SocketAddr>,
 }
 
 /// The retry budget, which bounds the retries of all hosts together.
@@ -84,6 +88,8 @@
         faults.extend(address_fault("listen.callers", self.listen.callers));
         faults.extend(address_fault("listen.ready", self.listen.ready));
         faults.extend(address_fault("listen.peers", self.listen.peers));
+        let tunnels = self.listen.tunnels;
+        faults.extend(tunnels.and_then(|addr| address_fault("listen.tunnels", addr)));
         let times = [
             ("retries.window_s", self.retries.window_s),
             ("grace_s", self.grace_s),
