--- /dev/null
+++ b/crates/gooseberry-gateway/tests/tunnels.rs
@@ -0,0 +1,266 @@
+//! Tunnels through other hosts keep what holds without them: no second run, true refusals, budgets counted once.
+
+mod site;
+
+use std::time::Duration;
+
+use base::prelude::*;
+use gooseberry_gateway::run::Gateway;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use membership::gossip::ListedPeer;
+use site::cut::{Cut, CutHost};
+use site::{Site, events, generation, request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Requests sent to see where they go.
+const REQUESTS: usize = 6;
+
+/// Lets a host notice that its paths to the plain servers are cut.
+async fn notice(host: &CutHost) {
+    for i in 0..3 {
+        host.try_send(request(&format!("first-{i}"), "/safe/a"))
+            .await;
+    }
+}
+
+async fn assert_served(host: &CutHost, tag: &str) {
+    for i in 0..REQUESTS {
+        let id = format!("{tag}-{i}");
+        let answer = host.send(request(&id, "/once/a")).await;
+        assert_eq!(answer.status, StatusCode::OK, "{id}: {}", answer.text());
+    }
+}
+
+fn served_tunnels(gateway: &Gateway) -> i64 {
+    gateway.ctx.metrics.served_tunnels.get()
+}
+
+#[tokio::test]
+async fn own_path_returns() {
+    let site = Site::start().await;
+    for cut in [Cut::Reset, Cut::RefuseNew, Cut::Hang] {
+        let host = site.cut_host(&format!("host-{cut:?}"), &["host-1"]).await;
+        host.cut_servers(cut).await;
+        notice(&host).await;
+        assert!(host.tunnel_count() > 0);
+        host.cut_servers(Cut::Open).await;
+        site.until("the paths are back", || {
+            !host.gateway.ctx.servers.has_lost_paths()
+        })
+        .await;
+        let before = host.tunnel_count();
+        assert_served(&host, &format!("{cut:?}")).await;
+        assert_eq!(
+            host.tunnel_count(),
+            before,
+            "served by the host's own paths"
+        );
+    }
+}
+
+#[tokio::test]
+async fn decided_by_one_host() {
+    let site = Site::start().await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    let answer = host.send(request("1", "/safe/fail-first")).await;
+    assert_eq!(answer.status, StatusCode::OK, "retried by the host");
+    assert_eq!(site.shared.runs("1").len(), 2);
+    let mut short = request("2", "/once/reject");
+    short
+        .headers_mut()
+        .insert("deadline-ms", "600".parse().unwrap());
+    let answer = host.send(short).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.text().contains("\"ran\":\"not_run\""));
+    assert!(site.shared.runs("2").is_empty());
+    let answer = host.send(request("3", "/once/cut")).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(site.shared.runs("3").len(), 1, "must run once at most");
+    let run = &site.shared.runs("1")[0];
+    assert_eq!(run.headers["tenant"], "crew");
+    assert!(!run.headers.contains_key("x-api-key"));
+    let left: u64 = run.headers["deadline-ms"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 6_000, "{left} ms, but the route allows 6,000");
+    let budgets = site.gateway.ctx.budgets();
+    assert!(budgets.is_empty(), "the host in between counts no request");
+}
+
+#[tokio::test]
+async fn caller_of_tunnel_leaves() {
+    let site = Site::start().await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    let mut link = host.open().await;
+    let waiting = tokio::spawn(async move { link.send(request("1", "/safe/hang")).await });
+    site.until("the call runs", || !site.shared.runs("1").is_empty())
+        .await;
+    waiting.abort();
+    site.until("the server observes the disconnect", || {
+        site.shared.has_left("1")
+    })
+    .await;
+    site.until("the tunnel is closed", || {
+        served_tunnels(&site.gateway) == 0
+    })
+    .await;
+    assert_eq!(site.shared.runs("1").len(), 1);
+}
+
+/// Makes a host know only `peer`.
+fn know_only(host: &CutHost, peer: &CutHost, name: &str) {
+    let listen = peer.gateway.listen;
+    host.gateway.ctx.gossip().set_hosts(vec![ListedPeer {
+        host: HostId::from(name),
+        data_centre: DataCentre::from("b"),
+        addr: listen.peers,
+        tunnels: listen.tunnels,
+        hub_priority: 0,
+    }]);
+}
+
+#[tokio::test]
+async fn no_loop_of_hosts() {
+    let site = Site::start().await;
+    let one = site.cut_host("host-2", &[]).await;
+    let two = site.cut_host("host-3", &[]).await;
+    know_only(&one, &two, "host-3");
+    know_only(&two, &one, "host-2");
+    one.cut_servers(Cut::Reset).await;
+    two.cut_servers(Cut::Reset).await;
+    notice(&one).await;
+    notice(&two).await;
+    let started = tokio::time::Instant::now();
+    for (i, host) in [&one, &two].into_iter().enumerate() {
+        let id = format!("call-{i}");
+        let answer = host.send(request(&id, "/once/a")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.text().contains("\"ran\":\"not_run\""));
+        assert_eq!(host.tunnel_count(), 0);
+    }
+    assert!(
+        started.elapsed() < Duration::from_secs(2),
+        "refused at once"
+    );
+}
+
+#[tokio::test]
+async fn host_in_between_is_cut_too() {
+    let site = Site::start().await;
+    let other = site.gateway("host-2").await;
+    let host = site.cut_host("host-3", &["host-1", "host-2"]).await;
+    host.cut_servers(Cut::Reset).await;
+    // The host in between takes its servers to be out of reach, as it has no open way to them either.
+    for id in ["p-1", "p-2", "e-1", "e-2"] {
+        let id = BackendId::from(id);
+        let ctx = &other.ctx;
+        ctx.servers
+            .record_refused(&id, ctx.now(), &ctx.data_centre, true);
+    }
+    notice(&host).await;
+    assert_served(&host, "a").await;
+}
+
+#[tokio::test]
+async fn host_in_between_is_lost() {
+    let site = Site::start().await;
+    let _other = site.gateway("host-2").await;
+    for cut in [Cut::Reset, Cut::Hang] {
+        let host = site
+            .cut_host(&format!("host-{cut:?}"), &["host-1", "host-2"])
+            .await;
+        host.cut_servers(Cut::Reset).await;
+        notice(&host).await;
+        let id = format!("stream-{cut:?}");
+        let mut link = host.open().await;
+        let response = link.send(generation(&id, "/draft/a")).await.unwrap();
+        let mut body = response.into_body();
+        let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
+        let through_first = served_tunnels(&site.gateway) > 0;
+        let lost = if through_first { "host-1" } else { "host-2" };
+        host.cut(lost, cut).await;
+        let rest = body.collect().await.expect("the stream was cut").to_bytes();
+        let text = String::from_utf8([first, rest].concat()).unwrap();
+        assert_eq!(text, events(&id, 0));
+        assert_served(&host, &format!("{cut:?}")).await;
+    }
+}
+
+#[tokio::test]
+async fn host_in_between_stops() {
+    let site = Site::start().await;
+    let other = site.gateway("host-2").await;
+    let host = site.cut_host("host-3", &["host-1", "host-2"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    let mut link = host.open().await;
+    let response = link.send(generation("1", "/draft/a")).await.unwrap();
+    for gateway in [&site.gateway, &other] {
+        if served_tunnels(gateway) > 0 {
+            gateway.ctx.stop();
+            assert!(
+                gateway.ctx.metrics.in_flight.get() > 0,
+                "it waits for the tunnel"
+            );
+        }
+    }
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(String::from_utf8(body.to_vec()).unwrap(), events("1", 0));
+    assert_eq!(site.shared.runs("1").len(), 1, "the stream was not moved");
+    assert_served(&host, "a").await;
+}
+
+#[tokio::test]
+async fn host_of_earlier_version() {
+    let site = Site::start().await;
+    let _other = site.gateway("host-2").await;
+    site.forget_tunnels("host-1").await;
+    let host = site.cut_host("host-3", &["host-1", "host-2"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    assert_served(&host, "a").await;
+    assert_eq!(served_tunnels(&site.gateway), 0);
+}
+
+/// The host in between may have ended instead of the server, so that such an answer may be truncated.
+#[tokio::test]
+async fn answer_without_length() {
+    let site = Site::bare().await;
+    let listener = site::listener().await;
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(answer_without_lengths(listener));
+    site.list("p-1", addr, false, "a", "ready");
+    site.configure(1, &site::config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 1)
+        .await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    let answer = host.send(request("1", "/once/a")).await;
+    assert_eq!((answer.status, answer.text()), (StatusCode::OK, "half"));
+    host.cut_servers(Cut::Reset).await;
+    let answer = host.send(request("2", "/once/a")).await;
+    assert!(!answer.status.is_success(), "{}", answer.text());
+    assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "it has run");
+}
+
+/// A server whose answers have no length and end with their connection.
+async fn answer_without_lengths(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            let mut head = [0; 4_096];
+            if stream.read(&mut head).await.is_ok_and(|n| n > 0) {
+                let answer =
+                    b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\nconnection: close\r\n\r\nhalf";
+                let _ = stream.write_all(answer).await;
+            }
+        });
+    }
+}
--- a/crates/gooseberry-standin/src/site.rs
+++ b/crates/gooseberry-standin/src/site.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod documents;
+pub mod path;
 pub mod store;
 pub mod worker;
 
