gateway: servers stay in use when a cut host reaches others again

A host that reached neither a server nor another host ejected its servers for ever longer, up to 16 s, and kept to that after the paths were back; each request first waited for its own path in vain.

Cause: the ejections double with each failure in a row, which is meant for a server that fails, not for a path. Change: without contact an ejection lasts 500 ms; contact regained makes the servers healthy again; requests leave the own path to the task that tries it. A service that is no longer listed is forgotten.

--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -182,7 +182,14 @@
 
     /// Records that a server is unreachable or unresponsive; drops its idle connections.
     pub fn record_unreachable(&self, id: &BackendId, now: Millis) {
-        if let Some(server) = self.lock().servers.get_mut(id) {
+        let mut guard = self.lock();
+        let fleet = &mut *guard;
+        let is_lost = fleet.is_contact_lost(id);
+        if let Some(server) = fleet.servers.get_mut(id) {
+            if is_lost {
+                // Other hosts may reach it again at any time, so that the ejections must not grow longer.
+                server.health = Health::default();
+            }
             server.health.record_unreachable(now);
             server.last_failure = Some(now);
             server.idle.clear();
@@ -415,6 +422,8 @@
             s.idle.retain(|(l, until)| now < *until && !l.is_closed());
             roster.get(id).is_some() || s.load != Load::default()
         });
+        self.contact
+            .retain(|service| roster.iter().any(|(_, m)| m.entry.service == *service));
     }
 
     /// Records that a server restarted: resets its health and drops the connections to its previous process.
--- a/crates/gooseberry-gateway/src/fleet/paths.rs
+++ b/crates/gooseberry-gateway/src/fleet/paths.rs
@@ -13,7 +13,7 @@
 /// The minimum time between two checks of one server through another host.
 const CHECK_INTERVAL: Millis = Millis(1_000);
 
-/// A server to which a connection failed within this time is not tried again for want of another one.
+/// A server to which a connection failed within this time does not show anew whether the path is at fault.
 const RECENT_REFUSAL: Millis = Millis(1_000);
 
 /// Servers of each service without contact to which a connection is tried at once.
@@ -27,9 +27,7 @@
 
     /// Whether this host has lost contact with the service of a server.
     pub fn is_contact_lost(&self, id: &BackendId) -> bool {
-        let fleet = self.lock();
-        let member = fleet.roster.get(id);
-        member.is_some_and(|m| fleet.contact.lost_since(&m.entry.service).is_some())
+        self.lock().is_contact_lost(id)
     }
 
     /// Whether contact with the service of a server was lost after `since` and connections hang, so that those
@@ -48,8 +46,8 @@
     }
 
     /// Records that a server accepted a connection of this host; returns whether that regains contact with its
-    /// service.
-    pub fn record_accepted(&self, id: &BackendId) -> bool {
+    /// service, whose servers then count as healthy again.
+    pub fn record_accepted(&self, id: &BackendId, now: Millis) -> bool {
         let mut guard = self.lock();
         let fleet = &mut *guard;
         if let Some(server) = fleet.servers.get_mut(id) {
@@ -63,7 +61,11 @@
         }
         // Whether one of them is in this host's data centre does not matter here.
         let size = fleet.service_size(&service, &DataCentre::default());
-        fleet.contact.record_accepted(&service, id, size)
+        let is_regained = fleet.contact.record_accepted(&service, id, size);
+        if is_regained {
+            fleet.reset_health(now, &service);
+        }
+        is_regained
     }
 
     /// Records that a connection of this host to a server failed; returns whether that loses contact with its
@@ -148,13 +150,6 @@
         true
     }
 
-    /// Whether this host's own connection to a server failed within [`RECENT_REFUSAL`].
-    pub fn is_recently_refused(&self, id: &BackendId, now: Millis) -> bool {
-        let fleet = self.lock();
-        let refusal = fleet.servers.get(id).and_then(|s| s.last_refusal);
-        refusal.is_some_and(|at| now.since(at) < RECENT_REFUSAL)
-    }
-
     /// A server of the same service as `id`, which failed, that shows whether this host's path is at fault: one
     /// in another data centre than `id`, if possible in this host's.
     pub fn witness(
@@ -200,6 +195,11 @@
 }
 
 impl Fleet {
+    pub(super) fn is_contact_lost(&self, id: &BackendId) -> bool {
+        let member = self.roster.get(id);
+        member.is_some_and(|m| self.contact.lost_since(&m.entry.service).is_some())
+    }
+
     fn is_indirect(&self, id: &BackendId) -> bool {
         if self.servers.get(id).is_some_and(|s| s.has_failed_path) {
             return true;
--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -27,7 +27,7 @@
 /// # Errors
 ///
 /// The operating system's error, or `TimedOut` after `timeout`; for a server that another host does not reach
-/// either, `ConnectionRefused`; without another host, `HostUnreachable` if this host's path failed just now.
+/// either, `ConnectionRefused`; if no other host opens tunnels at present, `HostUnreachable`.
 pub async fn open(
     ctx: &Arc<Context>,
     id: &BackendId,
@@ -55,10 +55,11 @@
             io::ErrorKind::ConnectionRefused,
             TunnelError::Unreachable,
         )),
-        // Without another host, this host's own path is all that is left.
-        Err(TunnelError::NoHost) if !ctx.servers.is_recently_refused(id, ctx.now()) => {
+        // Where no other host opens tunnels, this host's own path is all that is left.
+        Err(TunnelError::NoHost) if ctx.gossip().tunnel_hosts().is_empty() => {
             open_direct(ctx, id, addr, timeout, cause).await
         }
+        // The own path is tried by `watch`, not by requests, which would each wait for it in vain.
         Err(TunnelError::NoHost) => Err(io::Error::new(
             io::ErrorKind::HostUnreachable,
             TunnelError::NoHost,
@@ -88,7 +89,7 @@
 
 /// Records that a server accepted a connection of this host.
 pub fn record_accepted(ctx: &Context, id: &BackendId) {
-    if ctx.servers.record_accepted(id) {
+    if ctx.servers.record_accepted(id, ctx.now()) {
         let service = ctx.servers.service(id).unwrap_or_default();
         tracing::info!(%service, server = %id, "contact with the service regained");
     }
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -180,6 +180,11 @@
         lost.is_some_and(|l| l.hangs && l.since >= since)
     }
 
+    /// Forgets the services for which `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(&ServiceName) -> bool) {
+        self.services.retain(|service, _| keep(service));
+    }
+
     /// The services with which contact is lost.
     pub fn lost_services(&self) -> impl Iterator<Item = &ServiceName> {
         let lost = self.services.iter().filter(|(_, c)| c.lost.is_some());
