gooseberry-bench: the soak cuts gateways from the backend servers

Each gateway gets paths of its own to the servers, by a view of the store that lists them with other ports. The fault resets, refuses or hangs the connections of one gateway, to all servers or to the plain ones.

--- a/crates/gooseberry-bench/src/soak.rs
+++ b/crates/gooseberry-bench/src/soak.rs
@@ -120,6 +120,9 @@
     site.heal().await?;
     tokio::time::sleep(RECOVERY_TIME).await;
     let mut findings = judge::check_recovery(&site, seed).await;
+    if !is_planned && findings.is_empty() {
+        findings.extend(judge::check_cut_gateway(&site, seed).await);
+    }
     let records = callers.stop().await;
     site.stop().await;
     findings.extend(judge::judge(&records, &site, is_planned));
--- a/crates/gooseberry-bench/src/soak/faults.rs
+++ b/crates/gooseberry-bench/src/soak/faults.rs
@@ -5,6 +5,7 @@
 
 use gooseberry_standin::faults::Switch;
 use gooseberry_standin::site::documents;
+use gooseberry_standin::site::path::Cut;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use strum::{EnumCount, FromRepr};
@@ -38,6 +39,8 @@
     StopGateway,
     /// Sends SIGHUP to a gateway, upon which it reloads its settings.
     ReloadGateway,
+    /// Cuts a gateway from all backend servers or those of one service, or ends that; which one is drawn.
+    CutGateway,
     /// Disturbs the connections of callers to a gateway.
     DisturbCallers,
     /// Disturbs the connections of a gateway to the store.
@@ -64,6 +67,9 @@
     span_ms: u64,
 }
 
+/// States of the paths of a gateway to the backend servers.
+pub(crate) const CUTS: [Cut; 4] = [Cut::Reset, Cut::RefuseNew, Cut::Hang, Cut::Open];
+
 /// Routine operations, which must not interrupt any request.
 const PLANNED: [Kind; 4] = [
     Kind::StopGateway,
@@ -85,6 +91,7 @@
             | Kind::PauseGateway
             | Kind::StopGateway
             | Kind::ReloadGateway
+            | Kind::CutGateway
             | Kind::DisturbCallers
             | Kind::DisturbStore => shape.gateways,
             _ => shape.engines + shape.plain,
@@ -145,6 +152,10 @@
                     child.reload();
                 }
             }
+            Kind::CutGateway => {
+                let cut = CUTS[rng.random_range(0..CUTS.len())];
+                self.cut_gateway(i, cut, rng.random());
+            }
             Kind::DisturbCallers => disturb(&self.gateways[i].caller_proxy, rng),
             Kind::DisturbStore => disturb(&self.gateways[i].store_proxy, rng),
             Kind::StoreOutage => {
@@ -174,6 +185,9 @@
     }
 
     fn heal_connections(&self) {
+        for i in 0..self.gateways.len() {
+            self.cut_gateway(i, Cut::Open, false);
+        }
         for gateway in &self.gateways {
             gateway.caller_proxy.heal();
             gateway.store_proxy.heal();
--- a/crates/gooseberry-bench/src/soak/judge.rs
+++ b/crates/gooseberry-bench/src/soak/judge.rs
@@ -1,15 +1,21 @@
 //! Checks of the answers that callers received against the requests that backend servers recorded.
 
 use gooseberry_standin::site::caller::{self, Answer};
+use gooseberry_standin::site::path::Cut;
 
+use std::time::Duration;
 use thiserror::Error;
 
 use crate::soak::callers::{Kind, Record, send_request};
+use crate::soak::faults::CUTS;
 use crate::soak::site::{EVENTS, Site};
 
 /// Number of requests of each kind that every gateway must serve after all faults.
 const RECOVERY_REQUESTS: usize = 5;
 
+/// Time after which a gateway that is cut from the backend servers must serve its callers.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
 /// A violated guarantee.
 #[derive(Clone, Debug, Error)]
 pub(crate) enum Finding {
@@ -34,6 +40,16 @@
     /// A request was not served after the end of all faults; `status` is `None` without an answer.
     #[error("request {id} was not served after the end of all faults; status {status:?}")]
     NotRecovered { id: String, status: Option<u16> },
+    /// A request was not served by a gateway that is cut from the backend servers; `status` is `None` without an
+    /// answer.
+    #[error(
+        "request {id} was not served while its host reached no server ({cut:?}); status {status:?}"
+    )]
+    CutOff {
+        id: String,
+        cut: Cut,
+        status: Option<u16>,
+    },
 }
 
 /// Finds the guarantees that `records` violate.
@@ -96,24 +112,49 @@
 /// Sends requests of each kind to each gateway; all must be served.
 pub(crate) async fn check_recovery(site: &Site, seed: u64) -> Vec<Finding> {
     let mut findings = Vec::new();
-    for (i, gateway) in site.gateways.iter().enumerate() {
-        for kind in [Kind::Safe, Kind::Once, Kind::Draft] {
-            for n in 0..RECOVERY_REQUESTS {
-                let id = format!("last-{seed:x}-{i}-{kind}-{n}");
-                let answer = send_request(&mut None, gateway.caller_proxy.addr, kind, &id, 0).await;
-                let is_served = answer
-                    .as_ref()
-                    .is_ok_and(|a| a.status.is_success() && a.is_whole);
-                if !is_served {
-                    let status = answer.ok().map(|a| a.status.as_u16());
-                    findings.push(Finding::NotRecovered { id, status });
-                }
-            }
+    for i in 0..site.gateways.len() {
+        for (id, status) in unserved(site, i, &format!("last-{seed:x}")).await {
+            findings.push(Finding::NotRecovered { id, status });
         }
     }
     findings
 }
 
+/// Cuts one gateway from all backend servers; later than [`CONTACT_TIME`] it must serve its callers through the
+/// others.
+pub(crate) async fn check_cut_gateway(site: &Site, seed: u64) -> Vec<Finding> {
+    let i = seed as usize % site.gateways.len();
+    let cut = CUTS[seed as usize % (CUTS.len() - 1)];
+    site.cut_gateway(i, cut, false);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let unserved = unserved(site, i, &format!("cut-{seed:x}")).await;
+    site.cut_gateway(i, Cut::Open, false);
+    let findings = unserved.into_iter();
+    findings
+        .map(|(id, status)| Finding::CutOff { id, cut, status })
+        .collect()
+}
+
+/// Sends requests of each kind to a gateway; returns the ids of those that were not served, each with the status
+/// of its answer.
+async fn unserved(site: &Site, i: usize, tag: &str) -> Vec<(String, Option<u16>)> {
+    let mut unserved = Vec::new();
+    for kind in [Kind::Safe, Kind::Once, Kind::Draft] {
+        for n in 0..RECOVERY_REQUESTS {
+            let id = format!("{tag}-{i}-{kind}-{n}");
+            let addr = site.gateways[i].caller_proxy.addr;
+            let answer = send_request(&mut None, addr, kind, &id, 0).await;
+            let is_served = answer
+                .as_ref()
+                .is_ok_and(|a| a.status.is_success() && a.is_whole);
+            if !is_served {
+                unserved.push((id, answer.ok().map(|a| a.status.as_u16())));
+            }
+        }
+    }
+    unserved
+}
+
 /// Counts the requests by outcome, for the output.
 pub(crate) fn summary(records: &[Record]) -> String {
     let answers: Vec<&Answer> = records
--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -1,11 +1,12 @@
 //! The processes of a soak, the proxies between them, and the operations on both.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use base::prelude::*;
 use gooseberry_standin::faults::Switch;
+use gooseberry_standin::site::path::{Cut, Path};
 use gooseberry_standin::site::store::Put;
 use gooseberry_standin::site::{documents, store, worker};
 use hyper::Method;
@@ -51,8 +52,10 @@
     pub(crate) ready: SocketAddr,
     /// Proxy between callers and the gateway.
     pub(crate) caller_proxy: Proxy,
-    /// Proxy between the gateway and the store.
+    /// Proxy between the gateway and its view of the store.
     pub(crate) store_proxy: Proxy,
+    /// Its paths to the backend servers, by their index.
+    paths: Vec<Path>,
 }
 
 /// A backend server and the proxy in front of it, whose address is the listed one.
@@ -110,7 +113,7 @@
 impl Site {
     /// Starts all processes and waits until every gateway is ready.
     pub(crate) async fn start(
-        programs: &Path,
+        programs: &std::path::Path,
         seed: u64,
         shape: Shape,
     ) -> Result<Self, BenchError> {
@@ -122,8 +125,18 @@
         })?;
         let mut addresses = Addresses::new(seed);
         let store_addr = addresses.next();
+        let views: Vec<store::View> = (0..shape.gateways)
+            .map(|i| store::View {
+                listen: addresses.next(),
+                port_shift: port_shift(i),
+            })
+            .collect();
         let file = run_folder.join("store.json");
-        write_settings(&file, &store::Settings { listen: store_addr })?;
+        let settings = store::Settings {
+            listen: store_addr,
+            views: views.clone(),
+        };
+        write_settings(&file, &settings)?;
         let store = Child::start(programs, "gooseberry-standin", &["site-store"], &file)?;
         let mut site = Self {
             programs: programs.to_owned(),
@@ -138,8 +151,8 @@
             site.add_server(&mut addresses, i, i < shape.engines)
                 .await?;
         }
-        for i in 0..shape.gateways {
-            site.add_gateway(&mut addresses, i).await?;
+        for (i, view) in views.iter().enumerate() {
+            site.add_gateway(&mut addresses, i, view.listen).await?;
         }
         site.wait_for_store().await?;
         site.configure(documents::config(1)).await?;
@@ -181,7 +194,12 @@
         self.spawn_server(i)
     }
 
-    async fn add_gateway(&mut self, addresses: &mut Addresses, i: usize) -> Result<(), BenchError> {
+    async fn add_gateway(
+        &mut self,
+        addresses: &mut Addresses,
+        i: usize,
+        store: SocketAddr,
+    ) -> Result<(), BenchError> {
         let (own, caller_proxy, store_proxy) =
             (addresses.next(), addresses.next(), addresses.next());
         let on = |port: u16| SocketAddr::new(own.ip(), port);
@@ -208,12 +226,20 @@
         };
         let file = self.run_folder.join(format!("gateway-{i}.json"));
         write_settings(&file, &settings)?;
+        let mut paths = Vec::new();
+        for server in &self.servers {
+            let to = server.proxy.addr;
+            let addr = SocketAddr::new(to.ip(), to.port() + port_shift(i));
+            let path = Path::start(addr, to).await;
+            paths.push(path.map_err(|cause| BenchError::Listen { addr, cause })?);
+        }
         self.gateways.push(Gateway {
             child: None,
             file,
             ready: settings.listen.ready,
             caller_proxy: Proxy::start(caller_proxy, own).await?,
-            store_proxy: Proxy::start(store_proxy, self.store_addr).await?,
+            store_proxy: Proxy::start(store_proxy, store).await?,
+            paths,
         });
         self.spawn_gateway(i)
     }
@@ -289,6 +315,15 @@
         self.list(i).await
     }
 
+    /// Changes the paths of a gateway to the backend servers, or to those that are no engines.
+    pub(crate) fn cut_gateway(&self, i: usize, cut: Cut, only_plain: bool) {
+        for (path, server) in self.gateways[i].paths.iter().zip(&self.servers) {
+            if !only_plain || !server.settings.engine {
+                path.set(cut);
+            }
+        }
+    }
+
     /// Deletes the row of a backend server without stopping its process.
     pub(crate) async fn remove_row(&mut self, i: usize) -> Result<(), BenchError> {
         self.servers[i].leaving = true;
@@ -393,6 +428,7 @@
         for i in 0..self.gateways.len() {
             self.gateways[i].caller_proxy.heal();
             self.gateways[i].store_proxy.heal();
+            self.cut_gateway(i, Cut::Open, false);
             if let Some(child) = self.gateway(i) {
                 child.thaw();
             }
@@ -463,6 +499,11 @@
     }
 }
 
+/// By how much the ports of the backend servers are raised for a gateway.
+fn port_shift(gateway: usize) -> u16 {
+    1 + gateway as u16
+}
+
 /// Whether a gateway reports that it accepts connections.
 pub(crate) async fn accepts_connections(addr: SocketAddr) -> bool {
     let answer = web::client::get::<Value>(addr, "/readyz", CALL_TIMEOUT).await;
--- a/crates/gooseberry-standin/src/main.rs
+++ b/crates/gooseberry-standin/src/main.rs
@@ -85,7 +85,18 @@
         Command::SiteStore(args) => {
             let mut settings: store::Settings = read_settings(&args)?;
             let listener = bind(&args, &mut settings.listen).await?;
-            store::run(listener, Arc::new(store::Store::default()), stop).await;
+            let state = Arc::new(store::Store::default());
+            for view in &settings.views {
+                let listener = TcpListener::bind(view.listen).await.map_err(|e| {
+                    format!(
+                        "cannot listen on {}: {e}; choose another address",
+                        view.listen
+                    )
+                })?;
+                let (state, stop) = (Arc::clone(&state), stop.clone());
+                tokio::spawn(store::run_view(listener, state, view.port_shift, stop));
+            }
+            store::run(listener, state, stop).await;
         }
         Command::SiteWorker(args) => {
             let mut settings: worker::Settings = read_settings(&args)?;
--- a/crates/gooseberry-standin/src/site/store.rs
+++ b/crates/gooseberry-standin/src/site/store.rs
@@ -16,6 +16,7 @@
 use web::{Response, reply};
 
 use crate::faults::Faults;
+use crate::site::documents::SERVERS;
 use crate::site::response;
 
 /// The limit on a request body.
@@ -30,12 +31,26 @@
 pub struct Settings {
     /// The address to listen on; port 0 picks a free one.
     pub listen: SocketAddr,
+    /// Further addresses to listen on, each for one host.
+    pub views: Vec<View>,
+}
+
+/// An address of the store at which backend servers are listed with other ports, so that a host has paths to
+/// them that no other one uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct View {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The number that is added to the port of each backend server.
+    pub port_shift: u16,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            views: Vec::new(),
         }
     }
 }
@@ -122,11 +137,21 @@
 
 /// Runs a store on `listener` until `stop` is cancelled.
 pub async fn run(listener: TcpListener, store: Arc<Store>, stop: CancellationToken) {
-    let handler = move |request| handle(Arc::clone(&store), request);
+    run_view(listener, store, 0, stop).await;
+}
+
+/// Runs a view of a store on `listener` until `stop` is cancelled, see [`View`].
+pub async fn run_view(
+    listener: TcpListener,
+    store: Arc<Store>,
+    port_shift: u16,
+    stop: CancellationToken,
+) {
+    let handler = move |request| handle(Arc::clone(&store), port_shift, request);
     web::server::serve(listener, stop, handler).await;
 }
 
-async fn handle(store: Arc<Store>, request: Request<Incoming>) -> Response {
+async fn handle(store: Arc<Store>, port_shift: u16, request: Request<Incoming>) -> Response {
     let path = request.uri().path().to_owned();
     match path.as_str() {
         "/faults" => return store.faults.handle_request(request).await,
@@ -142,8 +167,8 @@
         return response(StatusCode::SERVICE_UNAVAILABLE, &[], "");
     }
     match (request.method(), path.as_str()) {
-        (&Method::GET, "/rows-get") => read(&store, &request),
-        (&Method::GET, "/rows-feed") => feed(&store, &request).await,
+        (&Method::GET, "/rows-get") => read(&store, port_shift, &request),
+        (&Method::GET, "/rows-feed") => feed(&store, port_shift, &request).await,
         (&Method::POST, "/rows-tx") => transact(&store, request).await,
         _ => response(StatusCode::NOT_FOUND, &[], ""),
     }
@@ -174,7 +199,7 @@
 }
 
 /// Answers `GET /rows-get`: the rows of a table by key, in pages of [`MAX_ROWS`].
-fn read(store: &Store, request: &Request<Incoming>) -> Response {
+fn read(store: &Store, port_shift: u16, request: &Request<Incoming>) -> Response {
     let table = parameter(request, "table").unwrap_or_default();
     let from = parameter(request, "from").unwrap_or_default();
     // The reader requests the next page from the last key with a zero byte appended, the smallest
@@ -190,11 +215,11 @@
     found.sort_by(|a, b| a.key.cmp(&b.key));
     let is_partial = found.len() > MAX_ROWS;
     found.truncate(MAX_ROWS);
-    answer(&found, rows.revision, is_partial)
+    answer(&found, rows.revision, is_partial, port_shift)
 }
 
 /// Answers `GET /rows-feed`: the changes after a revision; waits for one up to `wait-ms`.
-async fn feed(store: &Store, request: &Request<Incoming>) -> Response {
+async fn feed(store: &Store, port_shift: u16, request: &Request<Incoming>) -> Response {
     let table = parameter(request, "table").unwrap_or_default();
     let since = number(request, "since-rev");
     let wait = Duration::from_millis(number(request, "wait-ms"));
@@ -203,17 +228,17 @@
         let changed = store.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if let Some(answer) = changes(store, table, since) {
+        if let Some(answer) = changes(store, port_shift, table, since) {
             return answer;
         }
         if tokio::time::timeout_at(deadline, changed).await.is_err() {
-            return answer(&[], store.lock().revision, false);
+            return answer(&[], store.lock().revision, false, port_shift);
         }
     }
 }
 
 /// The changes after revision `since`, or 410 if they were compacted; `None` if there are none.
-fn changes(store: &Store, table: &str, since: u64) -> Option<Response> {
+fn changes(store: &Store, port_shift: u16, table: &str, since: u64) -> Option<Response> {
     let rows = store.lock();
     if since < rows.compacted {
         return Some(response(StatusCode::GONE, &[], ""));
@@ -224,7 +249,7 @@
         .filter(|r| r.table == table && r.revision > since)
         .collect();
     found.sort_by_key(|r| r.revision);
-    (!found.is_empty()).then(|| answer(&found, rows.revision, false))
+    (!found.is_empty()).then(|| answer(&found, rows.revision, false, port_shift))
 }
 
 /// Answers `POST /rows-tx`: applies the writes and deletions, without checking conditions.
@@ -251,11 +276,28 @@
     store.write(text("table"), text("key"), value);
 }
 
-fn answer(rows: &[&Row], revision: u64, is_partial: bool) -> Response {
+/// The row of a backend server with its port raised; as it is if it has no address.
+fn shift_port(row: &[u8], port_shift: u16) -> Vec<u8> {
+    let mut row: Value = match serde_json::from_slice(row) {
+        Ok(row) if port_shift > 0 => row,
+        _ => return row.to_vec(),
+    };
+    if let Some(addr) = row["addr"].as_str().and_then(|a| a.parse().ok()) {
+        let addr: SocketAddr = addr;
+        let port = addr.port().wrapping_add(port_shift);
+        row["addr"] = SocketAddr::new(addr.ip(), port).to_string().into();
+    }
+    row.to_string().into_bytes()
+}
+
+fn answer(rows: &[&Row], revision: u64, is_partial: bool, port_shift: u16) -> Response {
     let rows: Vec<Value> = rows
         .iter()
         .map(|r| {
-            let value = r.value.as_ref().map(|v| STANDARD.encode(v));
+            let value = r.value.as_ref().map(|v| match r.table.as_str() {
+                SERVERS => STANDARD.encode(shift_port(v, port_shift)),
+                _ => STANDARD.encode(v),
+            });
             json!({
                 "table": r.table, "part": "", "key": r.key, "ver": r.revision,
                 "value": value.unwrap_or_default(), "deleted": r.value.is_none(),
