membership: tunnels leave a data centre whose hosts cannot open them

A data centre may be cut from all servers as a whole. A host in it asked up to four hosts of the server's data centre, which for a server of its own one are all cut, and refused the request although other data centres have sound hosts.

Change: a data centre in which a host was tried, or is passed over, comes after the others. Failures that arrive together lengthen the pause once.

data_centre_is_cut failed before: the second host chosen was in the same data centre.

--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -18,7 +18,8 @@
 /// supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long sent data to a backend server, the store or another host may remain unacknowledged before the kernel closes the connection.
+/// How long data sent to a backend server, the store or another host may remain unacknowledged before the kernel
+/// closes the connection.
 pub const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Reason why a request has no response.
--- a/crates/membership/src/tunnels.rs
+++ b/crates/membership/src/tunnels.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use base::sorted::Sorted;
 
-/// How long a host is passed over after it did not open a tunnel; doubles with each further failure.
+/// How long a host is passed over after it did not open a tunnel; doubles if it fails again afterwards.
 const FIRST_PAUSE: Millis = Millis(500);
 
 /// The longest time for which a host is passed over.
@@ -43,25 +43,38 @@
 impl TunnelHosts {
     /// The host to try next; `None` if all were tried or are passed over.
     ///
-    /// A host in the server's data centre comes first, since the request crosses between data centres once
-    /// then, as without a tunnel; then one in this host's data centre; then any other.
+    /// All hosts of a data centre may be cut from the servers together, so one in which a host was tried, or is
+    /// passed over, comes after the others. Among these a host in the server's data centre comes first, since
+    /// the request crosses between data centres once then, as without a tunnel; then one in this host's data
+    /// centre; then any other.
     pub fn choose<'a>(
         &self,
         now: Millis,
         hosts: &'a [TunnelHost],
         request: &TunnelRequest<'_>,
     ) -> Option<&'a TunnelHost> {
-        let is_due = |h: &TunnelHost| {
+        let is_tried = |h: &TunnelHost| request.tried.contains(&h.addr);
+        let is_paused = |h: &TunnelHost| {
             let paused = self.paused.get(&h.addr);
-            paused.is_none_or(|(until, _)| now >= *until) && !request.tried.contains(&h.addr)
+            paused.is_some_and(|(until, _)| now < *until)
         };
+        let centres = |is_in: &dyn Fn(&TunnelHost) -> bool| {
+            let found = hosts.iter().filter(|h| is_in(h));
+            let mut centres: Vec<&DataCentre> = found.map(|h| &h.centre).collect();
+            centres.sort();
+            centres.dedup();
+            centres
+        };
+        let (tried, paused) = (centres(&is_tried), centres(&is_paused));
         let (_, host) = hosts
             .iter()
             .enumerate()
-            .filter(|(_, h)| is_due(h))
+            .filter(|(_, h)| !is_tried(h) && !is_paused(h))
             .min_by_key(|(i, h)| {
                 let spread = stable(&(request.seed ^ (*i as u64).rotate_left(32)).to_le_bytes());
                 (
+                    tried.binary_search(&&h.centre).is_ok(),
+                    paused.binary_search(&&h.centre).is_ok(),
                     h.centre != *request.server_centre,
                     h.centre != *request.own_centre,
                     spread,
@@ -72,8 +85,13 @@
 
     /// Records that a host did not open a tunnel, or that one over it broke or stalled.
     pub fn record_failed(&mut self, now: Millis, host: SocketAddr) {
-        let last = self.paused.get(&host).copied();
-        let pause = last.map_or(FIRST_PAUSE, |(_, last)| (last + last).min(MAX_PAUSE));
+        self.paused.retain(|_, (until, _)| now < *until + MAX_PAUSE);
+        let pause = match self.paused.get(&host) {
+            // Several tunnels were asked of it at once.
+            Some((until, _)) if now < *until => return,
+            Some((_, last)) => (*last + *last).min(MAX_PAUSE),
+            None => FIRST_PAUSE,
+        };
         self.paused.insert(host, (now + pause, pause));
     }
 
