gateway: a call that may repeat leaves a connection that has gone silent

Callers whose call was sent over an idle connection when the paths of its host began to hang got 504 at the time limit, or a late answer once the kernel gave the connection up after 1.5 s. The host learnt nothing from it.

Cause: only streams have their server probed while nothing arrives; a call waited for its time limit alone. Change: calls that may be retried wait as prompts do: after 600 ms without data from the server on any connection it is probed, and if it accepts none, or connections hang, the call goes on elsewhere, within the retry budget. Other calls wait on, as their answer may still come.

cut_off_calls_lost failed before: 504 after 6 s, "no answer arrived within the time limit"; it passes.

--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -12,9 +12,9 @@
 
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
-use crate::paths;
 use crate::reply::{self, Body};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
+use crate::{liveness, paths};
 
 /// Maximum size of a buffered response body.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -53,7 +53,15 @@
             return job.answer_failure(ctx, history.abandon(), "no_server", &FAILURE_TEXTS);
         };
         let time_left = job.time_left(ctx.now()).duration();
-        let result = tokio::time::timeout(time_left, exchange(ctx, job, &lease)).await;
+        let exchange = exchange(ctx, job, &lease);
+        let result = tokio::select! {
+            biased;
+            result = tokio::time::timeout(time_left, exchange) => result,
+            () = until_unreachable(ctx, job, &lease.id) => {
+                ctx.metrics.count_send(Outcome::TimedOut.into());
+                Ok(Err(Outcome::TimedOut))
+            }
+        };
         let (outcome, answer) = match result {
             Ok(Ok(answer)) if is_failure(&answer.head) => (Outcome::Failed, Some(answer)),
             Ok(Ok(answer)) => (Outcome::Answered, Some(answer)),
@@ -78,6 +86,15 @@
     }
 }
 
+/// Waits until the server of a call that may be retried fails a probe; never completes for any other call, whose
+/// answer may still come.
+async fn until_unreachable(ctx: &Arc<Context>, job: &Job, id: &BackendId) {
+    if !job.plan.route.kind.may_retry() {
+        return std::future::pending().await;
+    }
+    liveness::until_unreachable(ctx, id).await;
+}
+
 /// Whether the server ran the request and failed, so that a retry at another server may succeed.
 fn is_failure(head: &Head) -> bool {
     head.status.is_server_error()
--- a/crates/gooseberry-gateway/tests/hosts_cut_off.rs
+++ b/crates/gooseberry-gateway/tests/hosts_cut_off.rs
@@ -81,6 +81,17 @@
     }
 }
 
+#[tokio::test]
+async fn cut_off_calls_lost() {
+    let site = Site::start().await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    let answer = host.send(request("first", "/safe/a")).await;
+    assert_eq!(answer.status, StatusCode::OK, "its connection stays idle");
+    host.cut_servers(Cut::Hang).await;
+    let answer = host.send(request("1", "/safe/a")).await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+}
+
 #[tokio::test]
 async fn one_service_cut_off() {
     let site = Site::start().await;
