gateway: a tunnel waits for a host that reads slowly

A caller that reads its stream slowly lets the host that it reached stop reading from the tunnel. The host in between then ended the tunnel after 1.5 s, and a slow but sound stream was cut.

Cause: TCP_USER_TIMEOUT, which was set on the connection to the other host as on one to a server, also ends connections whose peer keeps its window closed. The connection now has the system's limit, as those of callers have; a host that is gone is noticed by keep-alive probes.

slow_reader_is_cut failed before: "Connection reset by peer" after 4 s; it passes.

--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
-    /// The server does not accept its connection, though others of the service do.
+    /// The server does not accept its connection, and it has not lost contact with the service.
     Unreachable,
     /// It reaches no server of the service itself.
     NoContact,
--- a/crates/gooseberry-gateway/src/tunnel/serve.rs
+++ b/crates/gooseberry-gateway/src/tunnel/serve.rs
@@ -40,7 +40,8 @@
             ctx.timer.after(ACCEPT_PAUSE).await;
             continue;
         };
-        link::tune(&stream, Some(link::USER_TIMEOUT));
+        // Keeps the system's time limit for unacknowledged data: the other host may read as slowly as its caller.
+        link::tune(&stream, None);
         tokio::spawn(connection(Arc::clone(&ctx), stream));
     }
 }
--- a/crates/gooseberry-gateway/tests/tunnels.rs
+++ b/crates/gooseberry-gateway/tests/tunnels.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::time::Duration;
+
 use base::prelude::*;
 use gooseberry_gateway::run::Gateway;
 use http_body_util::BodyExt;
@@ -10,7 +12,13 @@
 use site::cut::{Cut, CutHost};
 use site::{Site, events, generation, request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+
+/// An answer that fills the buffers of both connections of a tunnel, in bytes.
+const LONG_ANSWER: usize = 64 << 20;
+
+/// Longer than data to a server may remain unacknowledged.
+const READER_PAUSE: Duration = Duration::from_secs(4);
 
 /// Requests sent to see where they go.
 const REQUESTS: usize = 6;
@@ -223,6 +231,32 @@
     assert_eq!(served_tunnels(&site.gateway), 0);
 }
 
+/// Callers may read slowly, so that a host stops reading from its tunnel for a while.
+#[tokio::test]
+async fn slow_reader_is_cut() {
+    let site = Site::bare().await;
+    let listener = site::listener().await;
+    let addr = listener.local_addr().unwrap();
+    site.list("p-1", addr, false, "a", "ready");
+    site.until("the server is listed", || site.listed_count() == 1)
+        .await;
+    let host = site.gateway.listen.tunnels.unwrap();
+    let mut tunnel = TcpStream::connect(host).await.unwrap();
+    let head = format!("CONNECT {addr} HTTP/1.1\r\nbackend-server: p-1\r\n\r\n");
+    tunnel.write_all(head.as_bytes()).await.unwrap();
+    let (mut server, _) = listener.accept().await.unwrap();
+    tokio::spawn(async move {
+        // An error is seen by the reader as missing bytes.
+        let _ = server.write_all(&vec![b'x'; LONG_ANSWER]).await;
+    });
+    tokio::time::sleep(READER_PAUSE).await;
+    let mut received = Vec::new();
+    let result = tunnel.read_to_end(&mut received).await;
+    assert!(result.is_ok(), "{result:?}");
+    let body = received.iter().filter(|b| **b == b'x').count();
+    assert_eq!(body, LONG_ANSWER);
+}
+
 /// The host in between may have ended instead of the server, so that such an answer may be truncated.
 #[tokio::test]
 async fn answer_without_length() {
