--- a/crates/gooseberry-gateway/src/fleet/paths.rs
+++ b/crates/gooseberry-gateway/src/fleet/paths.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Whether to check now through another host that a server has failed; at most once in [`CHECK_INTERVAL`],
+    /// Whether to check now through another host that a server has failed; at most once a second,
     /// and not if another host has found the same.
     pub fn begin_path_check(&self, id: &BackendId, now: Millis) -> bool {
         let mut fleet = self.lock();
