--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -66,7 +66,7 @@
     /// Time without an event for the caller while a stream is resumed at another server, by source, in
     /// seconds.
     pub resume_gap: Histograms,
-    /// Requests that are being answered now.
+    /// Requests that are being answered now, and tunnels that are open for other hosts.
     pub in_flight: Gauge,
     /// The version of the configuration in force; 0 if there is none.
     pub config_version: Gauge,
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -4,9 +4,10 @@
 //! from one failure. Servers crash one by one or with their data centre, and a network that is split leaves the
 //! servers of this host's data centre within reach. When servers of several data centres, this one included,
 //! refuse connections and none accepts one in between, or when no server is left that has not failed, this
-//! host's path is taken to be at fault: it has lost contact with the service, and reaches the servers through other hosts until its own connections are
-//! accepted again. Taking a crash for a lost path costs a detour of milliseconds, as other hosts refuse the
-//! servers that have crashed; taking a lost path for a crash refuses every caller of the host.
+//! host's path is taken to be at fault: it has lost contact with the service, and reaches the servers through
+//! other hosts until its own connections are accepted again. Taking a crash for a lost path costs a detour of
+//! milliseconds, as other hosts refuse the servers that have crashed; taking a lost path for a crash refuses
+//! every caller of the host.
 
 use base::prelude::*;
 use base::sorted::Sorted;
