base, membership, gateway: one piece for what lost paths computed twice

- The distinct data centres of a list were sorted and deduplicated in three places, one through a dyn closure, and in the router: base::sorted::distinct.
- lose_contact counted usable and ejected servers as ServiceCounts does; it now uses those counts.
- record_accepted was given the size of a service by a made-up data centre, of which it read the number of servers; it takes that number.
The name of the service is cloned only if a connection to it has failed, not for each new one.

Ruled out: joining Path of the stand-ins and Proxy of the soak; one cuts connections as they are opened, the other disturbs the bytes of open ones.

Tests keep their assertions; contact_loss passes the number of servers.

--- a/crates/base/src/sorted.rs
+++ b/crates/base/src/sorted.rs
@@ -1,7 +1,15 @@
-//! A map in a sorted vector.
+//! Sorted vectors: a map, and the distinct items of a sequence.
 
 use serde::{Deserialize, Serialize};
 
+/// The distinct items, in order.
+pub fn distinct<T: Ord>(items: impl Iterator<Item = T>) -> Vec<T> {
+    let mut items: Vec<T> = items.collect();
+    items.sort();
+    items.dedup();
+    items
+}
+
 /// Map whose entries are kept ordered by key in one vector and found by binary search.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sorted<K, V> {
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -222,21 +222,9 @@
         Some(fleet.roster.get(id)?.entry.service.clone())
     }
 
-    /// Counts of the servers of a service, for logs.
+    /// Counts of the servers of a service.
     pub fn counts(&self, now: Millis, service: &str) -> ServiceCounts {
-        let fleet = self.lock();
-        let mut counts = ServiceCounts::default();
-        let members = fleet.roster.iter();
-        for (id, member) in members.filter(|(_, m)| m.entry.service.as_str() == service) {
-            counts.listed += 1;
-            if member.is_usable(now) {
-                let candidate = fleet.candidate(now, id, &member.entry, 0);
-                counts.usable += 1;
-                counts.ejected += usize::from(candidate.is_ejected);
-                counts.suspected += usize::from(candidate.is_suspected);
-            }
-        }
-        counts
+        self.lock().counts(now, service)
     }
 
     /// Whether the registry is unavailable at present.
@@ -382,6 +370,21 @@
         chosen.into_iter().map(|i| members[i].0.clone()).collect()
     }
 
+    fn counts(&self, now: Millis, service: &str) -> ServiceCounts {
+        let mut counts = ServiceCounts::default();
+        let members = self.roster.iter();
+        for (id, member) in members.filter(|(_, m)| m.entry.service.as_str() == service) {
+            counts.listed += 1;
+            if member.is_usable(now) {
+                let candidate = self.candidate(now, id, &member.entry, 0);
+                counts.usable += 1;
+                counts.ejected += usize::from(candidate.is_ejected);
+                counts.suspected += usize::from(candidate.is_suspected);
+            }
+        }
+        counts
+    }
+
     fn candidate<'a>(
         &self,
         now: Millis,
--- a/crates/gooseberry-gateway/src/fleet/paths.rs
+++ b/crates/gooseberry-gateway/src/fleet/paths.rs
@@ -5,6 +5,7 @@
 
 use balance::Health;
 use base::prelude::*;
+use base::sorted::distinct;
 use membership::contact::{Failure, ServiceSize};
 use membership::roster::Entry;
 
@@ -53,15 +54,16 @@
         if let Some(server) = fleet.servers.get_mut(id) {
             server.has_failed_path = false;
         }
-        let Some(service) = fleet.roster.get(id).map(|m| m.entry.service.clone()) else {
+        let member = fleet.roster.get(id);
+        let Some(service) = member
+            .map(|m| &m.entry.service)
+            .filter(|s| fleet.contact.has_failures(s))
+            .cloned()
+        else {
             return false;
         };
-        if !fleet.contact.has_failures(&service) {
-            return false;
-        }
-        // Whether one of them is in this host's data centre does not matter here.
-        let size = fleet.service_size(&service, &DataCentre::default());
-        let is_regained = fleet.contact.record_accepted(&service, id, size);
+        let servers = fleet.centres(&service).count();
+        let is_regained = fleet.contact.record_accepted(&service, id, servers);
         if is_regained {
             fleet.reset_health(now, &service);
         }
@@ -106,17 +108,8 @@
     pub fn lose_contact(&self, now: Millis, service: &ServiceName) -> bool {
         let mut guard = self.lock();
         let fleet = &mut *guard;
-        let mut usable = 0;
-        for (id, member) in fleet.roster.iter() {
-            if member.entry.service == *service && member.is_usable(now) {
-                let server = fleet.servers.get(id);
-                if !server.is_some_and(|s| s.health.is_ejected(now)) {
-                    return false;
-                }
-                usable += 1;
-            }
-        }
-        if usable == 0 {
+        let counts = fleet.counts(now, service.as_str());
+        if counts.usable == 0 || counts.ejected < counts.usable {
             return false;
         }
         let is_lost = fleet.contact.lose(now, service);
@@ -208,19 +201,20 @@
         member.is_some_and(|m| !self.contact.is_direct(&m.entry.service, id))
     }
 
-    /// Number of servers of a service, and of data centres that they are in, whether or not they are usable: one
-    /// that leaves accepts connections as well.
-    fn service_size(&self, service: &ServiceName, own_centre: &DataCentre) -> ServiceSize {
+    /// The data centre of each server of a service, whether or not it is usable: one that leaves accepts
+    /// connections as well.
+    fn centres(&self, service: &ServiceName) -> impl Iterator<Item = &DataCentre> {
         let members = self.roster.iter().map(|(_, m)| m);
-        let members = members.filter(|m| m.entry.service == *service && !m.is_replaced);
-        let mut centres: Vec<&DataCentre> = members.map(|m| &m.entry.centre).collect();
-        let servers = centres.len();
-        centres.sort();
-        centres.dedup();
+        let members = members.filter(move |m| m.entry.service == *service && !m.is_replaced);
+        members.map(|m| &m.entry.centre)
+    }
+
+    fn service_size(&self, service: &ServiceName, own_centre: &DataCentre) -> ServiceSize {
+        let centres = distinct(self.centres(service));
         ServiceSize {
-            servers,
+            servers: self.centres(service).count(),
             centres: centres.len(),
-            has_own: centres.contains(&own_centre),
+            has_own: centres.binary_search(&own_centre).is_ok(),
         }
     }
 
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -99,7 +99,7 @@
         if !is_reachable(&ctx, &id, RECENT_ACTIVITY, PROBE_TIMEOUT).await
             && !ctx.servers.is_indirect(&id)
         {
-            handle_failure(&ctx, &id);
+            handle_unreachable(&ctx, &id);
         }
     });
 }
--- a/crates/gooseberry-router/src/context.rs
+++ b/crates/gooseberry-router/src/context.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use base::prelude::*;
+use base::sorted::distinct;
 use journal::choice::{self, Peer as Candidate};
 use peer::agent::HostView;
 use settings::router::Router as Settings;
@@ -105,9 +106,7 @@
     /// since the owner may be in any of them and prefers witnesses in its own.
     pub fn holders(&self, key: &RequestKey) -> Vec<HostView> {
         let snapshot = self.snapshot();
-        let mut centres: Vec<&DataCentre> = snapshot.hosts.iter().map(|h| &h.data_centre).collect();
-        centres.sort_unstable();
-        centres.dedup();
+        let centres = distinct(snapshot.hosts.iter().map(|h| &h.data_centre));
         let mut hosts = Vec::new();
         for centre in centres {
             let inside = snapshot.hosts.iter().filter(|h| h.data_centre == *centre);
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -10,7 +10,7 @@
 //! every caller of the host.
 
 use base::prelude::*;
-use base::sorted::Sorted;
+use base::sorted::{Sorted, distinct};
 
 /// A failure counts for this time, unless a server accepts a connection in between.
 const FAILURE_TTL: Millis = Millis(3_000);
@@ -106,9 +106,7 @@
             lost.hangs |= failure.is_timeout;
             return false;
         }
-        let mut centres: Vec<&DataCentre> = contact.failed.iter().map(|(_, f)| &f.centre).collect();
-        centres.sort();
-        centres.dedup();
+        let centres = distinct(contact.failed.iter().map(|(_, f)| &f.centre));
         let is_lost = contact.failed.len() >= MIN_FAILED.min(size.servers.max(1))
             && centres.len() >= MIN_CENTRES.min(size.centres.max(1))
             && (!size.has_own || contact.failed.iter().any(|(_, f)| f.is_own));
@@ -131,12 +129,13 @@
         true
     }
 
-    /// Records a connection that a server accepted; returns whether contact with the service is regained by it.
+    /// Records a connection that a server accepted, one of the `servers` of its service; returns whether contact
+    /// with the service is regained by it.
     pub fn record_accepted(
         &mut self,
         service: &ServiceName,
         server: &BackendId,
-        size: ServiceSize,
+        servers: usize,
     ) -> bool {
         let Some(contact) = self.services.get_mut(service) else {
             return false;
@@ -146,7 +145,7 @@
                 if !lost.accepted.contains(server) {
                     lost.accepted.push(server.clone());
                 }
-                lost.accepted.len() >= MIN_ACCEPTED.min(size.servers.max(1))
+                lost.accepted.len() >= MIN_ACCEPTED.min(servers.max(1))
             }
             None => true,
         };
--- a/crates/membership/src/tunnels.rs
+++ b/crates/membership/src/tunnels.rs
@@ -4,7 +4,7 @@
 
 use base::hash::stable;
 use base::prelude::*;
-use base::sorted::Sorted;
+use base::sorted::{Sorted, distinct};
 
 /// How long a host is passed over after it did not open a tunnel; doubles if it fails again afterwards.
 const FIRST_PAUSE: Millis = Millis(500);
@@ -58,14 +58,8 @@
             let paused = self.paused.get(&h.addr);
             paused.is_some_and(|(until, _)| now < *until)
         };
-        let centres = |is_in: &dyn Fn(&TunnelHost) -> bool| {
-            let found = hosts.iter().filter(|h| is_in(h));
-            let mut centres: Vec<&DataCentre> = found.map(|h| &h.centre).collect();
-            centres.sort();
-            centres.dedup();
-            centres
-        };
-        let (tried, paused) = (centres(&is_tried), centres(&is_paused));
+        let tried = distinct(hosts.iter().filter(|h| is_tried(h)).map(|h| &h.centre));
+        let paused = distinct(hosts.iter().filter(|h| is_paused(h)).map(|h| &h.centre));
         let (_, host) = hosts
             .iter()
             .enumerate()
--- a/crates/membership/tests/contact_loss.rs
+++ b/crates/membership/tests/contact_loss.rs
@@ -42,7 +42,7 @@
     fn accept(&mut self, server: &str) -> bool {
         let server = BackendId::from(server);
         self.contact
-            .record_accepted(&self.service, &server, self.size)
+            .record_accepted(&self.service, &server, self.size.servers)
     }
 
     fn is_direct(&self, server: &str) -> bool {
