gateway: plainer words for tunnels, no second meaning of "witness"

Two comments say in usual terms what a tunnel forwards and why a body without a length is refused. The imports of the soak's judge stand in the usual order.

No behaviour changes; the renamed test keeps its assertions.

--- a/crates/gooseberry-bench/src/soak/judge.rs
+++ b/crates/gooseberry-bench/src/soak/judge.rs
@@ -1,9 +1,9 @@
 //! Checks of the answers that callers received against the requests that backend servers recorded.
 
+use std::time::Duration;
+
 use gooseberry_standin::site::caller::{self, Answer};
 use gooseberry_standin::site::path::Cut;
-
-use std::time::Duration;
 use thiserror::Error;
 
 use crate::soak::callers::{Kind, Record, send_request};
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -46,7 +46,7 @@
     /// When this host's own connection to it last failed; `None` if none did.
     last_refusal: Option<Millis>,
     /// When it was last tried because a server of another data centre failed; `None` if it never was.
-    last_witness: Option<Millis>,
+    last_reference: Option<Millis>,
     /// When this host last had another one check whether it has failed; `None` if it never did.
     last_check: Option<Millis>,
     /// Idle connections, each with the time until which it may be used.
--- a/crates/gooseberry-gateway/src/fleet/paths.rs
+++ b/crates/gooseberry-gateway/src/fleet/paths.rs
@@ -145,7 +145,7 @@
 
     /// A server of the same service as `id`, which failed, that shows whether this host's path is at fault: one
     /// in another data centre than `id`, if possible in this host's.
-    pub fn witness(
+    pub fn reference(
         &self,
         id: &BackendId,
         now: Millis,
@@ -156,7 +156,7 @@
         let failed = &fleet.roster.get(id)?.entry;
         let is_candidate = |other: &BackendId, e: &Entry| {
             let server = fleet.servers.get(other);
-            let last = server.and_then(|s| s.last_refusal.max(s.last_witness));
+            let last = server.and_then(|s| s.last_refusal.max(s.last_reference));
             e.service == failed.service
                 && e.centre != failed.centre
                 && last.is_none_or(|at| now.since(at) >= RECENT_REFUSAL)
@@ -167,7 +167,7 @@
             .min_by_key(|(_, m)| (m.entry.centre != *own_centre, rand::random::<u32>()))
             .map(|(other, m)| (other.clone(), m.entry.addr))?;
         let server = fleet.servers.entry(id.clone(), Server::default);
-        server.last_witness = Some(now);
+        server.last_reference = Some(now);
         Some((id, addr))
     }
 
--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -42,8 +42,8 @@
             Err(_) if ctx.servers.is_indirect(id) => {}
             Err(error) => {
                 check(ctx, id);
-                if let Some((id, addr)) = ctx.servers.witness(id, ctx.now(), &ctx.data_centre) {
-                    spawn_direct(ctx, id, addr, "witness");
+                if let Some((id, addr)) = ctx.servers.reference(id, ctx.now(), &ctx.data_centre) {
+                    spawn_direct(ctx, id, addr, "reference");
                 }
                 return Err(error);
             }
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -197,7 +197,7 @@
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
-    // The end of such a body cannot be told from that of the host which passes it on.
+    // Such a body also ends if the host that forwards it exits, so it may be truncated.
     if head.ends_by_close && link.tunnel.is_some() {
         return Err(Outcome::Broken);
     }
--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -1,10 +1,10 @@
 //! Tunnels to backend servers through other hosts, by the `CONNECT` method of HTTP.
 //!
-//! The host at the other end connects to the server and then passes bytes on unread; it neither chooses a
-//! server nor repeats a request. All that is decided about a request stays with the host that its caller
-//! reached: the server, the time limit, retries and their budget, and what the caller is told. A host opens
-//! tunnels over its own connections only, so that no tunnel leads through another one. A tunnel carries one
-//! request and is not kept afterwards, so that a host that stops has to wait for requests only.
+//! The other host connects to the server and forwards bytes in both directions without parsing them; it neither
+//! chooses a server nor retries a request. The host that received the request keeps all decisions: the server,
+//! the time limit, retries and their budget, and the response. A host opens tunnels over its own connections
+//! only, so that no tunnel leads through another one. A tunnel carries one request and is not kept afterwards,
+//! so that a stopping host has to wait for requests only.
 
 pub mod serve;
 
--- a/crates/gooseberry-gateway/tests/lost_paths.rs
+++ b/crates/gooseberry-gateway/tests/lost_paths.rs
@@ -137,18 +137,18 @@
 }
 
 #[test]
-fn witness_of_another_centre() {
+fn reference_of_another_centre() {
     let servers = servers();
     let own = DataCentre::from("a");
-    let witness = |id: &str, now| {
-        let witness = servers.witness(&BackendId::from(id), Millis(now), &own);
-        witness.map(|(id, _)| id.0)
+    let reference = |id: &str, now| {
+        let reference = servers.reference(&BackendId::from(id), Millis(now), &own);
+        reference.map(|(id, _)| id.0)
     };
-    let first = witness("b-1", 0).unwrap();
-    let second = witness("b-1", 0).unwrap();
+    let first = reference("b-1", 0).unwrap();
+    let second = reference("b-1", 0).unwrap();
     assert!(first.starts_with('a') && second.starts_with('a') && first != second);
-    assert_eq!(witness("b-1", 999), None, "each was tried just now");
-    assert!(witness("a-1", 0).unwrap().starts_with('b'));
+    assert_eq!(reference("b-1", 999), None, "each was tried just now");
+    assert!(reference("a-1", 0).unwrap().starts_with('b'));
 }
 
 #[test]
