gateway: a failing test for a run that outlives the host it runs for

Cause: the host in between has nothing by which to notice that the other one is out of reach before the kernel gives up. The time limit for unacknowledged data is not the remedy, as it cut slow readers.

--- a/crates/gooseberry-gateway/tests/tunnels.rs
+++ b/crates/gooseberry-gateway/tests/tunnels.rs
@@ -195,6 +195,25 @@
     }
 }
 
+/// The request goes on elsewhere, so the server must not work on it for a host that is out of reach.
+#[tokio::test]
+async fn run_outlives_lost_host() {
+    let site = Site::start().await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    let mut link = host.open().await;
+    let waiting = tokio::spawn(async move { link.send(request("1", "/safe/hang")).await });
+    site.until("the call runs", || !site.shared.runs("1").is_empty())
+        .await;
+    host.cut("host-1", Cut::Hang).await;
+    site.until("the server observes that the host is gone", || {
+        site.shared.has_left("1")
+    })
+    .await;
+    waiting.abort();
+}
+
 #[tokio::test]
 async fn host_in_between_stops() {
     let site = Site::start().await;
