gateway: say in which phase an attempt at a stream failed, and on which parts

An attempt that ended between the head of the response and the first event left no line, and no line named the parts of a prompt, so the logs could not tell a request that ends its servers from requests that were there by chance. The call now holds hashes of the prompt's shared parts, and both lines of failed attempts have them.

--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -170,15 +170,20 @@
         );
         let id = lease.id.clone();
         let left = job.time_left(now).duration();
+        let mut has_head = false;
         let result = tokio::select! {
             biased;
-            result = first_event(&ctx, &job, &lease, &options) => result,
+            result = first_event(&ctx, &job, &lease, &options, &mut has_head) => result,
             () = liveness::until_unreachable(&ctx, &id) => Err(Outcome::TimedOut),
             () = tokio::time::sleep(left) => Err(Outcome::TimedOut),
         };
         let (opened, splitter, event) = match result {
             Ok(parts) => parts,
             Err(outcome) => {
+                tracing::info!(
+                    id = %job.call.id, server = %id, %outcome, has_head, parts = ?job.call.shared_parts,
+                    "stream attempt ended before its first event"
+                );
                 self.avoid.push(id);
                 return Err(Some(outcome));
             }
@@ -316,7 +321,8 @@
         liveness::handle_failure(&self.ctx, &attempt.lease.id);
         tracing::info!(
             id = %self.job.call.id, server = %attempt.lease.id, %outcome, last = ?self.progress.last_id(),
-            silence_ms = now.since(self.progress.idle_since()).0, "stream attempt failed"
+            silence_ms = now.since(self.progress.idle_since()).0, parts = ?self.job.call.shared_parts,
+            "stream attempt failed"
         );
         self.avoid.push(attempt.lease.id.clone());
         self.backup = attempt.backup_task.and_then(BackupTask::into_backup);
@@ -417,14 +423,17 @@
 
 /// Sends a stream's request and waits for its first event.
 ///
-/// There is no event if the stream is resumed and the caller already has all of it.
+/// There is no event if the stream is resumed and the caller already has all of it. Sets `has_head` once the
+/// head of the response has arrived.
 async fn first_event(
     ctx: &Arc<Context>,
     job: &Job,
     lease: &Lease,
     options: &StreamOptions<'_>,
+    has_head: &mut bool,
 ) -> Result<(OpenResponse, Splitter, Option<Event>), Outcome> {
     let mut opened = send::send_request(ctx, job, lease, options).await?;
+    *has_head = true;
     if !opened.head.status.is_success() {
         return Err(Outcome::Failed);
     }
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -46,6 +46,8 @@
     pub last_event: Option<u64>,
     /// Declared size of the generation; `None` for any other request.
     pub size: Option<GenerationSize>,
+    /// Hashes of the prompt's parts that other requests may share, in ascending order; all but the last part.
+    pub shared_parts: Vec<u64>,
 }
 
 /// The reason why the configuration does not allow a request.
