--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -31,6 +31,10 @@
 /// The value of the `response-seal` header; the gateway does not accept a success without one.
 const SEAL: &str = "3e1b.07.5a2";
 
+/// A prompt part on which an engine fails once it has begun to answer: it ends the connection between the head of
+/// the response and the first event.
+pub const FATAL_PART: &str = "fa7a1";
+
 /// The settings of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -132,6 +136,17 @@
         received.iter().filter(|s| s.id == id).cloned().collect()
     }
 
+    /// The number of runs whose prompt has the part with this id.
+    pub fn runs_with_part(&self, part: &str) -> usize {
+        let received = lock(&self.received);
+        let parts = received
+            .iter()
+            .map(|r| header(&r.headers, "prompt-prefix").split(','));
+        parts
+            .filter(|parts| parts.clone().any(|p| p.split(':').next() == Some(part)))
+            .count()
+    }
+
     /// Whether the caller disconnected before the answer was complete.
     pub fn has_left(&self, id: &str) -> bool {
         lock(&self.abandoned).iter().any(|l| l == id)
@@ -242,7 +257,10 @@
     }
     let from = header(&head.headers, "last-event-id").parse().unwrap_or(0);
     let parts = header(&head.headers, "prompt-prefix").split(',');
-    let parts = parts.filter_map(|p| p.split(':').next().map(str::to_owned));
+    let parts: Vec<String> = parts
+        .filter_map(|p| p.split(':').next().map(str::to_owned))
+        .collect();
+    let is_fatal = parts.iter().any(|p| p == FATAL_PART);
     lock(&worker.cached).extend(parts);
     lock(&worker.shared.received).push(ReceivedRequest {
         id: id.clone(),
@@ -259,7 +277,9 @@
     let quirk = quirk.filter(|q| is_first || !is_first_only(*q));
     sleep(Duration::from_millis(worker.settings.work_ms)).await;
     worker.faults.inject_delay().await;
-    if worker.settings.engine {
+    if worker.settings.engine && is_fatal {
+        begin_and_fail(&running)
+    } else if worker.settings.engine {
         stream(running, &body, from, quirk)
     } else {
         respond(running, &body, quirk).await
@@ -330,18 +350,30 @@
     sender.abort(StreamCut);
 }
 
-/// Answers with an event stream that starts after the event `from`.
-fn stream(running: InFlight, body: &Bytes, from: u64, quirk: Option<Quirk>) -> Response {
+/// Answers with the head of an event stream and then fails.
+fn begin_and_fail(running: &InFlight) -> Response {
+    let (sender, response) = open_stream(&running.id);
+    tokio::spawn(send_truncated(sender, Bytes::new()));
+    response
+}
+
+/// The head of an event stream for the request `id`, and the sender of its body.
+fn open_stream(id: &str) -> (BodySender, Response) {
     let (sender, mut response) = reply::events();
-    let id = running.id.clone();
     let sealed = super::response(
         StatusCode::OK,
-        &[("attempt-id", id.as_str()), ("response-seal", SEAL)],
+        &[("attempt-id", id), ("response-seal", SEAL)],
         "",
     );
     for (name, value) in sealed.headers() {
         response.headers_mut().insert(name.clone(), value.clone());
     }
+    (sender, response)
+}
+
+/// Answers with an event stream that starts after the event `from`.
+fn stream(running: InFlight, body: &Bytes, from: u64, quirk: Option<Quirk>) -> Response {
+    let (sender, response) = open_stream(&running.id);
     tokio::spawn(events(running, sender, stable(body), from, quirk));
     response
 }
