--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -8,7 +8,7 @@
 use base::sorted::Sorted;
 use membership::TunnelHosts;
 use membership::gossip::Gossip;
-use relay::{Budget, SendHistory};
+use relay::{Budget, Quarantine, SendHistory};
 use routing::Snapshot;
 use timer::Timer;
 use tokio::sync::Notify;
@@ -55,6 +55,10 @@
     pub paths_lost: Notify,
     /// The hosts that are passed over when a tunnel is opened.
     tunnels: Mutex<TunnelHosts>,
+    /// Prompts that end the servers which begin to answer them.
+    quarantine: Mutex<Quarantine>,
+    /// Wakes the task that writes the quarantines to the store.
+    pub quarantine_changed: Notify,
     /// Time limits set by the deployment.
     pub limits: Limits,
     /// Retry budget of a service that has had no requests yet.
@@ -84,6 +88,8 @@
             wake_gossip: Notify::new(),
             paths_lost: Notify::new(),
             tunnels: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_changed: Notify::new(),
             limits,
             initial_budget: budget,
             budgets: Mutex::default(),
@@ -171,6 +177,13 @@
         self.tunnels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the quarantined prompts; must not be locked while the exchange is locked.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a connection broke or stalled while a request was on it: the host of a tunnel may have failed.
     pub fn record_broken(&self, link: &Link) {
         if let Some(host) = link.tunnel {
--- a/crates/gooseberry-gateway/src/feed.rs
+++ b/crates/gooseberry-gateway/src/feed.rs
@@ -112,7 +112,7 @@
         match table {
             Table::Operator => Some(&self.operator),
             Table::Servers => Some(&self.servers),
-            Table::Hosts => None,
+            Table::Hosts | Table::Quarantine => None,
         }
     }
 
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -5,10 +5,11 @@
 
 use base::hash::short_hash;
 use base::prelude::*;
-use membership::gossip::{Message, Usage};
+use membership::gossip::{Body, Message, Usage};
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::quarantine;
 
 /// The interval between a host's reports while nothing is urgent.
 const PERIOD: Millis = Millis(500);
@@ -29,11 +30,16 @@
         }
         let now = ctx.now();
         let usage = own_usage(&ctx, now);
+        let relays = ctx.gossip().relays();
+        let evidence = ctx.quarantine().evidence(now, relays);
         let messages = {
             let mut gossip = ctx.gossip();
             let mut messages = gossip.digest(now, usage);
             messages.extend(gossip.centre_sums(now));
             messages.extend(gossip.failed_servers(now));
+            if let Some(evidence) = evidence {
+                messages.extend(gossip.prompt_evidence(now, evidence));
+            }
             messages
         };
         // With a hub that answers, the shared usage is applied when the answer arrives.
@@ -138,5 +144,10 @@
     if received.notify_hubs {
         ctx.wake_gossip.notify_one();
     }
+    if let Body::Prompts(evidence) = &message.body
+        && ctx.quarantine().merge(now, evidence)
+    {
+        quarantine::announce(ctx);
+    }
     received.answer
 }
--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod paths;
 pub mod polling;
+pub mod quarantine;
 pub mod reply;
 pub mod run;
 pub mod send;
--- a/crates/gooseberry-gateway/src/metrics.rs
+++ b/crates/gooseberry-gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub in_flight: Gauge,
     /// The version of the configuration in force; 0 if there is none.
     pub config_version: Gauge,
+    /// Quarantined prompts.
+    pub quarantines: Gauge,
     /// Backend servers in the registry, as far as this host has read it.
     pub servers: Gauge,
     /// Log lines dropped because the log's sink was too slow.
@@ -96,6 +98,7 @@
             resume_gap: Family::new_with_constructor(histogram),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
+            quarantines: Gauge::default(),
             servers: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
@@ -183,6 +186,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        r.register(
+            "quarantines",
+            "Quarantined prompts: servers end as they begin to answer them",
+            self.quarantines.clone(),
+        );
         r.register(
             "servers",
             "Backend servers in the registry",
--- /dev/null
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -0,0 +1,219 @@
+//! Quarantined prompts at the gateway: which requests are refused for them, and their rows in the store.
+//!
+//! Hosts tell each other by gossip messages. The store keeps the quarantines for hosts that start, and for those
+//! that hear no other host.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::hash::{short_hash, stable};
+use base::prelude::*;
+use hyper::Response;
+use platform::store::{self, Table};
+use relay::quarantine::{Admission, Fatal};
+use serde::{Deserialize, Serialize};
+
+use crate::context::Context;
+use crate::reply::{self, Body};
+use crate::send::Job;
+use crate::store::{CallError, Store};
+
+/// Interval at which a host that hears no other reads the quarantines, and at which failed calls are repeated.
+const PERIOD: Millis = Millis(1_000);
+
+/// Time after its start by which a host hears the others, unless it is cut off from them.
+const HEARD_BY: Millis = Millis(3_000);
+
+/// Time limit for a call to the store.
+const TIMEOUT: Millis = Millis(600);
+
+/// Interval at which a request that waits for another one's outcome checks for it.
+const WAIT_POLL: Millis = Millis(50);
+
+/// Longest wait for the outcome of other requests.
+const MAX_WAIT: Millis = Millis(4_000);
+
+/// When to retry a request that has waited in vain.
+const WAIT_RETRY: Millis = Millis(1_000);
+
+/// The value of a quarantine's row.
+#[derive(Debug, Serialize, Deserialize)]
+struct Entry {
+    /// Hashes of the parts in hexadecimal.
+    parts: Vec<String>,
+    /// Unix time of the last crash, in milliseconds.
+    crashed_unix_ms: u64,
+    /// How long after that no request with the parts is sent, in milliseconds.
+    hold_ms: u64,
+}
+
+impl Job {
+    /// Waits until the request may be sent to a server.
+    ///
+    /// # Errors
+    ///
+    /// Its prompt is quarantined; the time after which the caller may try again.
+    pub async fn until_admitted(&self, ctx: &Context) -> Result<(), Millis> {
+        let parts = &self.call.shared_parts;
+        if parts.is_empty() {
+            return Ok(());
+        }
+        let may_try = |parts: &[u64]| ctx.gossip().is_owner(&row_key(parts));
+        let end = ctx.now() + MAX_WAIT;
+        loop {
+            let now = ctx.now();
+            let admission = ctx.quarantine().check(now, parts, may_try);
+            match admission {
+                Admission::Allowed => return Ok(()),
+                Admission::Refused(left) => return Err(left),
+                Admission::Wait if now >= end || self.time_left(now) == Millis(0) => {
+                    return Err(WAIT_RETRY);
+                }
+                Admission::Wait => ctx.timer.after(WAIT_POLL).await,
+            }
+        }
+    }
+
+    /// The response to a quarantined request that was not sent to any server.
+    pub fn refuse_quarantined(&self, ctx: &Context, left: Millis) -> Response<Body> {
+        let response = reply::refused(
+            "quarantined",
+            "prompts with these parts have ended the servers that began to answer them; the request has not run",
+            left.0,
+        );
+        self.record_end(ctx, "quarantined", response.status(), None);
+        response
+    }
+
+    /// Records that a server ended as it began to answer this request.
+    pub fn record_crash(&self, ctx: &Context, server: &BackendId) {
+        let parts = &self.call.shared_parts;
+        if parts.is_empty() {
+            return;
+        }
+        let server_hash = short_hash(server.as_str());
+        let is_news = ctx.quarantine().record_crash(ctx.now(), server_hash, parts);
+        tracing::info!(id = %self.call.id, %server, is_news, "server ended as it began to answer");
+        if is_news {
+            announce(ctx);
+        }
+    }
+
+    /// Records that an answer to this request got past its beginning.
+    pub fn record_sound(&self, ctx: &Context) {
+        let parts = &self.call.shared_parts;
+        if !parts.is_empty() && ctx.quarantine().record_sound(ctx.now(), parts) {
+            announce(ctx);
+        }
+    }
+}
+
+/// Tells the other hosts and the store about a change.
+pub fn announce(ctx: &Context) {
+    ctx.metrics
+        .quarantines
+        .set(ctx.quarantine().fatal().len() as i64);
+    ctx.wake_gossip.notify_one();
+    ctx.quarantine_changed.notify_one();
+}
+
+/// Reads the quarantines in the store at the start and while no other host is heard, and writes those that are
+/// found or lifted by this host, until the task is aborted.
+pub async fn synchronise(ctx: Arc<Context>, mut store: Store) {
+    let mut is_read = false;
+    let mut writes: Vec<(String, Option<Vec<u8>>)> = Vec::new();
+    loop {
+        let now = ctx.now();
+        if !is_read || now > HEARD_BY && ctx.gossip().is_parted(now) {
+            match read(&ctx, &mut store).await {
+                Ok(()) => is_read = true,
+                Err(error) => tracing::info!(%error, "cannot read the quarantines; will retry"),
+            }
+        }
+        collect_writes(&ctx, &mut writes);
+        while let Some((key, value)) = writes.first() {
+            let written = store
+                .write(Table::Quarantine, key, value.as_deref(), TIMEOUT)
+                .await;
+            if let Err(error) = written {
+                tracing::info!(%key, %error, "cannot write a quarantine; will retry");
+                break;
+            }
+            writes.remove(0);
+        }
+        tokio::select! {
+            () = ctx.timer.after(PERIOD) => {}
+            () = ctx.quarantine_changed.notified(), if writes.is_empty() => {}
+        }
+    }
+}
+
+/// Adds the rows to write or to remove, as key and value, to those that wait.
+fn collect_writes(ctx: &Context, writes: &mut Vec<(String, Option<Vec<u8>>)>) {
+    let (lifted, unwritten) = {
+        let mut quarantine = ctx.quarantine();
+        (quarantine.take_lifted(), quarantine.take_unwritten())
+    };
+    for parts in lifted {
+        tracing::info!(parts = ?parts, "quarantine lifted: a prompt with these parts was answered");
+        writes.push((row_key(&parts), None));
+    }
+    for fatal in unwritten {
+        tracing::warn!(
+            parts = ?fatal.parts, hold_s = fatal.hold.0 / 1_000,
+            "prompts quarantined: servers end as they begin to answer them"
+        );
+        writes.push((row_key(&fatal.parts), Some(encode(ctx.now(), &fatal))));
+    }
+}
+
+async fn read(ctx: &Context, store: &mut Store) -> Result<(), CallError> {
+    let mut after: Option<String> = None;
+    loop {
+        let path = store::read_path(Table::Quarantine, after.as_deref());
+        let rows = store.rows(&path, TIMEOUT).await?;
+        for row in &rows.rows {
+            match decode(ctx.now(), row.value.as_deref().unwrap_or_default()) {
+                Some((parts, at, hold)) => ctx.quarantine().restore(parts, at, hold),
+                None => tracing::warn!(key = %row.key, "malformed quarantine row skipped"),
+            }
+        }
+        after = rows.rows.last().map(|r| r.key.clone());
+        if !rows.is_partial || after.is_none() {
+            return Ok(());
+        }
+    }
+}
+
+/// The key of the row for these parts, which also names the matter that one host tries again.
+fn row_key(parts: &[u64]) -> String {
+    let bytes: Vec<u8> = parts.iter().flat_map(|p| p.to_be_bytes()).collect();
+    format!("{:016x}", stable(&bytes))
+}
+
+fn encode(now: Millis, fatal: &Fatal) -> Vec<u8> {
+    let entry = Entry {
+        parts: fatal.parts.iter().map(|p| format!("{p:016x}")).collect(),
+        crashed_unix_ms: unix_ms().saturating_sub(now.since(fatal.at).0),
+        hold_ms: fatal.hold.0,
+    };
+    // Serialising texts and numbers to JSON cannot fail.
+    serde_json::to_vec(&entry).unwrap_or_default()
+}
+
+/// The parts of a row, the time of the last crash and the hold time; `None` if the value is malformed.
+fn decode(now: Millis, value: &[u8]) -> Option<(Vec<u64>, Millis, Millis)> {
+    let entry: Entry = serde_json::from_slice(value).ok()?;
+    let parts = entry.parts.iter().map(|p| u64::from_str_radix(p, 16).ok());
+    let age = unix_ms().saturating_sub(entry.crashed_unix_ms);
+    Some((
+        parts.collect::<Option<_>>()?,
+        now - Millis(age),
+        Millis(entry.hold_ms),
+    ))
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |e| u64::try_from(e.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::context::{Context, Limits};
 use crate::reply::{self, Body};
 use crate::store::Store;
-use crate::{feed, gossip, hosts, paths, serve, sync, tunnel};
+use crate::{feed, gossip, hosts, paths, quarantine, serve, sync, tunnel};
 
 /// The number of hosts among which the fixed part of the retry budget is divided until the host list is
 /// read; the smallest deployment has 8.
@@ -168,6 +168,7 @@
     tasks.spawn(gossip::listen(Arc::clone(&ctx), Arc::clone(&socket)));
     tasks.spawn(feed::serve(Arc::clone(&ctx), peer_calls));
     tasks.spawn(paths::watch(Arc::clone(&ctx)));
+    tasks.spawn(quarantine::synchronise(Arc::clone(&ctx), store()));
     if let Some((listener, _)) = tunnels {
         tasks.spawn(tunnel::serve::accept(Arc::clone(&ctx), listener));
     }
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -55,8 +55,19 @@
     head: Head,
     lease: Lease,
     backup_task: Option<BackupTask>,
+    /// Events that the server has sent.
+    events: u64,
 }
 
+/// An answer with this number of events from one server is past its beginning.
+const PROVING_EVENTS: u64 = 2;
+
+/// Servers that may end as they begin to answer a request before it is abandoned.
+const MAX_BEGUN_LOST: u32 = 2;
+
+/// After this number of servers that ended before they began to answer a request, it is taken for the cause.
+const MAX_WAITING_LOST: u32 = 2;
+
 /// State of a stream over all its attempts.
 struct StreamState {
     ctx: Arc<Context>,
@@ -70,6 +81,12 @@
     first_event: Option<Event>,
     /// KV cache backup of the last failed attempt, from which the next one resumes.
     backup: Option<Backup>,
+    /// Servers that ended as they began to answer.
+    begun_lost: u32,
+    /// Servers that ended before they began to answer.
+    waiting_lost: u32,
+    /// Whether an answer got past its beginning, so that the request is not the cause of any server's end.
+    is_proven: bool,
 }
 
 /// Reason why an attempt yields no more events.
@@ -84,6 +101,12 @@
 pub async fn run(ctx: Arc<Context>, job: Arc<Job>) -> Response<Body> {
     let mut state = StreamState::new(ctx, job);
     loop {
+        if let Err(left) = state.job.until_admitted(&state.ctx).await {
+            return match state.history.abandon() {
+                Action::Refuse => state.job.refuse_quarantined(&state.ctx, left),
+                action => state.answer_failure(action, "quarantined"),
+            };
+        }
         let outcome = match state.start_attempt().await {
             Ok(headers) => return state.into_response(headers),
             Err(Some(outcome)) => outcome,
@@ -120,11 +143,22 @@
             attempt: None,
             first_event: None,
             backup: None,
+            begun_lost: 0,
+            waiting_lost: 0,
+            is_proven: false,
         }
     }
 
     /// The next step after an attempt that ended with `outcome`; may wait for the retry budget.
     async fn next_action(&mut self, outcome: Outcome) -> Action {
+        if self.begun_lost >= MAX_BEGUN_LOST {
+            self.history.record(
+                outcome,
+                self.job.plan.route.kind,
+                self.job.plan.route.attempts,
+            );
+            return self.history.abandon();
+        }
         self.job
             .next_action(&self.ctx, &mut self.history, outcome)
             .await
@@ -184,6 +218,7 @@
                     id = %job.call.id, server = %id, %outcome, has_head, parts = ?job.call.shared_parts,
                     "stream attempt ended before its first event"
                 );
+                self.record_lost(&id, outcome, has_head);
                 self.avoid.push(id);
                 return Err(Some(outcome));
             }
@@ -202,10 +237,31 @@
             head: opened.head,
             lease,
             backup_task,
+            events: 0,
         });
         Ok(parts.headers)
     }
 
+    /// Records a server that failed with an attempt, if the request may be the cause.
+    fn record_lost(&mut self, server: &BackendId, outcome: Outcome, has_begun: bool) {
+        let is_lost = match outcome {
+            Outcome::Broken => true,
+            Outcome::TimedOut => self.job.time_left(self.ctx.now()) > Millis(0),
+            _ => false,
+        };
+        if !is_lost || self.is_proven {
+            return;
+        }
+        if has_begun {
+            self.begun_lost += 1;
+        } else {
+            self.waiting_lost += 1;
+        }
+        if has_begun || self.waiting_lost > MAX_WAITING_LOST {
+            self.job.record_crash(&self.ctx, server);
+        }
+    }
+
     /// The response: the headers of the first attempt and the events of all attempts.
     fn into_response(self, headers: HeaderMap) -> Response<Body> {
         let seconds = self.ctx.now().since(self.job.received).0 as f64 / 1_000.0;
@@ -248,17 +304,23 @@
 
     /// Reads the next event of the current attempt.
     async fn read_event(&mut self) -> Result<Event, AttemptEnd> {
-        if let Some(event) = self.first_event.take() {
-            return Ok(event);
-        }
         let Some(attempt) = &mut self.attempt else {
             return Err(AttemptEnd::Failed(Outcome::Broken));
         };
+        if let Some(event) = self.first_event.take() {
+            attempt.events += 1;
+            return Ok(event);
+        }
         let deadline = self.progress.stall_deadline().min(self.job.deadline);
         tokio::select! {
             biased;
             event = next_event(&mut attempt.body, &mut attempt.splitter) => match event {
                 Ok(Some(event)) => {
+                    attempt.events += 1;
+                    if attempt.events == PROVING_EVENTS {
+                        self.is_proven = true;
+                        self.job.record_sound(&self.ctx);
+                    }
                     self.ctx.servers.record_activity(&attempt.lease.id, self.ctx.now());
                     Ok(event)
                 }
@@ -287,6 +349,10 @@
             if self.next_action(outcome).await != Action::Resend {
                 return Err(self.cut_off(outcome.into()));
             }
+            // A stream that has had output cannot be the cause, and is not made to wait.
+            if !self.is_proven && self.job.until_admitted(&self.ctx).await.is_err() {
+                return Err(self.cut_off("quarantined"));
+            }
             let source = if self.backup.is_some() {
                 "copy"
             } else {
@@ -324,6 +390,7 @@
             silence_ms = now.since(self.progress.idle_since()).0, parts = ?self.job.call.shared_parts,
             "stream attempt failed"
         );
+        self.record_lost(&attempt.lease.id, outcome, true);
         self.avoid.push(attempt.lease.id.clone());
         self.backup = attempt.backup_task.and_then(BackupTask::into_backup);
     }
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -300,8 +300,8 @@
             Table::Operator if row.key == CONFIG_KEY => self.apply_config(row),
             Table::Operator => {}
             Table::Servers => self.apply_server(row, now),
-            // Read periodically by `hosts`, without polling for changes.
-            Table::Hosts => {}
+            // Read by `hosts` and `quarantine`, without polling for changes.
+            Table::Hosts | Table::Quarantine => {}
         }
     }
 
--- a/crates/gooseberry-gateway/tests/fatal_prompts.rs
+++ b/crates/gooseberry-gateway/tests/fatal_prompts.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::time::Duration;
+
 use base::prelude::*;
 use bytes::Bytes;
 use gooseberry_gateway::link::Link;
@@ -9,6 +11,8 @@
 use gooseberry_standin::site::worker::FATAL_PART;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use membership::gossip::{Gossip, ListedPeer};
+use relay::Quarantine;
 use site::{Answer, Site, exchange, generation};
 
 /// Servers that may end before such prompts are recognised, and sends allowed after that.
@@ -64,3 +68,63 @@
     let runs = site.shared.runs_with_part(FATAL_PART);
     assert!(runs <= MAX_RUNS, "sent to servers {runs} times");
 }
+
+/// A host that starts after the crashes, and hears no other host before its first request.
+#[tokio::test]
+async fn known_after_a_restart() {
+    let (site, other) = site().await;
+    let parts = |i: usize| format!("5c:200,{FATAL_PART}:300,7{i}:800");
+    for i in 0..4 {
+        send_to(&other, prompt(&format!("bad-{i}"), &parts(i))).await;
+        // Servers that end at the same moment have a common cause.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    site.until("the quarantine is in the store", || {
+        !site.store.keys("gooseberry-quarantine").is_empty()
+    })
+    .await;
+    let runs = site.shared.runs_with_part(FATAL_PART);
+    let started = site.gateway("host-3").await;
+    let has_read = || !started.ctx.quarantine().fatal().is_empty();
+    site.until("the new host has read the quarantine", has_read)
+        .await;
+    let answer = send_to(&started, prompt("bad-9", &parts(9))).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(site.shared.runs_with_part(FATAL_PART), runs);
+}
+
+/// A request whose servers fail one after the other is given up, also if its prompt has no shared parts.
+#[tokio::test]
+async fn request_ends_two_servers() {
+    let (site, _other) = site().await;
+    let answer = site.send(prompt("bad", &format!("{FATAL_PART}:300"))).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(site.shared.runs("bad").len(), 2);
+}
+
+#[test]
+fn evidence_fits_a_datagram() {
+    let mut quarantine = Quarantine::default();
+    for i in 0..500 {
+        let now = Millis(10_000 + i);
+        let parts: Vec<u64> = (0..1 + i % 16).map(|p| u64::MAX - i * 16 - p).collect();
+        quarantine.record_crash(now, u32::MAX - i as u32, &parts);
+        quarantine.restore(parts.clone(), now, Millis(86_400_000));
+        quarantine.record_sound(now + Millis(1), &parts[..1]);
+    }
+    let evidence = quarantine.evidence(Millis(11_000), true).unwrap();
+    let centre = DataCentre::from("a-data-centre-with-a-long-name");
+    let name = HostId::from("a-host-with-a-long-name-in-a-data-centre-1");
+    let mut gossip = Gossip::new(name, centre.clone(), Incarnation(u64::MAX));
+    gossip.set_hosts(vec![ListedPeer {
+        host: HostId::from("b"),
+        data_centre: centre,
+        addr: "10.0.0.1:1".parse().unwrap(),
+        tunnels: None,
+        hub_priority: 9,
+    }]);
+    let messages = gossip.prompt_evidence(Millis(11_000), evidence);
+    let bytes = postcard::to_stdvec(&messages[0].1).unwrap();
+    assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
+}
--- a/crates/gooseberry-standin/src/site/store.rs
+++ b/crates/gooseberry-standin/src/site/store.rs
@@ -115,6 +115,16 @@
         row.and_then(|r| r.value.clone())
     }
 
+    /// The keys of a table's rows.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.lock();
+        let present = rows
+            .rows
+            .iter()
+            .filter(|r| r.table == table && r.value.is_some());
+        present.map(|r| r.key.clone()).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Rows> {
         self.rows.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -16,10 +16,14 @@
 
 use std::net::SocketAddr;
 
+use base::hash::rendezvous;
 use base::prelude::*;
-use base::sorted::Sorted;
+use base::sorted::{Sorted, distinct};
 
-pub use message::{Body, FailedServer, Message, Usage, WINDOWS};
+pub use message::{
+    Body, CrashReport, FailedServer, FatalPrompt, Message, PromptEvidence, SoundPart, Usage,
+    WINDOWS,
+};
 use order::hub_order;
 pub use order::{ListedPeer, hub_priority};
 
@@ -280,6 +284,18 @@
         if !announces && !has_announced {
             return Vec::new();
         }
+        let addrs = self.hub_addrs();
+        let sums = self.member_sums(None);
+        let body = Body::Centre {
+            hosts: sums.hosts,
+            usage: sums.usage.iter().map(|(_, u)| *u).collect(),
+        };
+        let message = self.message(now, body);
+        to_each(addrs, &message)
+    }
+
+    /// The hosts that may be hubs of a data centre, in ascending order.
+    fn hub_addrs(&self) -> Vec<SocketAddr> {
         let mut addrs: Vec<SocketAddr> = Vec::new();
         let mut count = (None, 0);
         for listed in &self.listed {
@@ -294,13 +310,56 @@
         addrs.extend(self.hubs.iter().map(|(_, r)| r.addr));
         addrs.sort();
         addrs.dedup();
-        let sums = self.member_sums(None);
-        let body = Body::Centre {
-            hosts: sums.hosts,
-            usage: sums.usage.iter().map(|(_, u)| *u).collect(),
+        addrs
+    }
+
+    /// The messages that tell the hub, or as a hub the members and the other hubs, about prompts that end servers.
+    pub fn prompt_evidence(
+        &mut self,
+        now: Millis,
+        evidence: PromptEvidence,
+    ) -> Vec<(SocketAddr, Message)> {
+        let mut addrs: Vec<SocketAddr> = self.members.iter().map(|(_, r)| r.addr).collect();
+        match self.hub() {
+            Some(hub) => addrs.push(hub.addr),
+            None => addrs.extend(self.hub_addrs()),
+        }
+        let message = Message {
+            // Leaves room for the evidence; other messages carry the failed servers.
+            failed: Vec::new(),
+            ..self.message(now, Body::Prompts(evidence))
         };
-        let message = self.message(now, body);
-        to_each(addrs, &message)
+        to_each(distinct(addrs.into_iter()), &message)
+    }
+
+    /// Whether this host passes on what it hears: it is a hub, or others use it as theirs.
+    pub fn relays(&self) -> bool {
+        self.is_hub() || self.has_members()
+    }
+
+    /// Whether hosts of another data centre are listed and none of them is heard, or this host is its own hub and
+    /// hears none of the others in its data centre.
+    pub fn is_parted(&self, now: Millis) -> bool {
+        if !self.is_hub() {
+            return self.fresh_answer(now).is_none();
+        }
+        let is_fresh = |host: &HostId| {
+            let reports = [self.members.get(host), self.hubs.get(host)];
+            let mut reports = reports.into_iter().flatten();
+            reports.any(|r| now.since(r.received_at) < REPORT_TTL)
+        };
+        let centres = distinct(self.listed.iter().map(|l| &l.data_centre));
+        centres.into_iter().any(|centre| {
+            let hosts = self.listed.iter().filter(|l| l.data_centre == *centre);
+            !hosts.map(|l| &l.host).any(is_fresh)
+        })
+    }
+
+    /// Whether this host is the one of all listed ones that acts on the matter `key`.
+    pub fn is_owner(&self, key: &str) -> bool {
+        let own = rendezvous(key, self.host.as_str());
+        let others = self.listed.iter().map(|l| rendezvous(key, l.host.as_str()));
+        others.max().is_none_or(|most| most < own)
     }
 
     /// A message with the failed servers for each member of this hub; empty if there is no new one.
@@ -403,6 +462,8 @@
                     });
                 }
             }
+            // Applied by `relay::Quarantine`.
+            Body::Prompts(_) => {}
         }
         received.failed.clone_from(&message.failed);
         received
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -30,6 +30,48 @@
     pub age: u32,
 }
 
+/// A server that ended as it began to answer a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Hash of the server id.
+    pub server: u32,
+    /// Time since the crash, in milliseconds.
+    pub age: u32,
+    /// Hashes of the shared parts of the request's prompt.
+    pub parts: Vec<u64>,
+}
+
+/// Prompt parts that together end servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FatalPrompt {
+    /// Hashes of the parts.
+    pub parts: Vec<u64>,
+    /// Time since the last crash, in milliseconds.
+    pub age: u32,
+    /// How long after the last crash no request with them is sent, in milliseconds.
+    pub hold: u32,
+}
+
+/// A prompt part that was in a sound answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoundPart {
+    /// Hash of the part.
+    pub part: u64,
+    /// Time since the answer, in milliseconds.
+    pub age: u32,
+}
+
+/// What a host knows of prompts that end servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptEvidence {
+    /// Recent crashes that no quarantine explains.
+    pub crashes: Vec<CrashReport>,
+    /// The quarantines in force.
+    pub fatal: Vec<FatalPrompt>,
+    /// Parts that were under suspicion and are sound.
+    pub sound: Vec<SoundPart>,
+}
+
 /// A datagram from one host to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -71,4 +113,6 @@
         /// For each entry of `usage`, the number of waiting hosts that come before the receiver.
         ranks: Vec<u32>,
     },
+    /// From a host to its hub, and from a hub to its members and the other hubs; hosts of earlier versions skip it.
+    Prompts(PromptEvidence),
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod events;
 pub mod outcome;
 pub mod progress;
+pub mod quarantine;
 
 pub use budget::Budget;
 pub use events::{Event, SplitError, Splitter};
 pub use outcome::{Action, Outcome, SendHistory};
 pub use progress::{EventAction, Progress};
+pub use quarantine::{Admission, Quarantine};
--- /dev/null
+++ b/crates/relay/tests/quarantine.rs
@@ -0,0 +1,246 @@
+//! Which prompts are quarantined, by the crashes and answers that hosts have seen.
+
+use base::prelude::*;
+use membership::gossip::PromptEvidence;
+use relay::quarantine::{Admission, Quarantine};
+
+/// Parts of prompts: one that is fatal, a second one, and others that are not.
+const FATAL: u64 = 50;
+const OTHER_FATAL: u64 = 60;
+const SHARED: u64 = 10;
+
+/// The hold time of a new quarantine.
+const HOLD: Millis = Millis(900_000);
+
+fn check(quarantine: &mut Quarantine, now: u64, parts: &[u64]) -> Admission {
+    quarantine.check(Millis(now), parts, |_| true)
+}
+
+/// Ends `count` servers under requests with these parts, one each second from `from` seconds on.
+fn crash(quarantine: &mut Quarantine, from: u64, count: u64, parts: &[u64]) {
+    for i in from..from + count {
+        quarantine.record_crash(Millis(i * 1_000), i as u32, parts);
+    }
+}
+
+fn is_refused(quarantine: &mut Quarantine, now: u64, parts: &[u64]) -> bool {
+    matches!(check(quarantine, now, parts), Admission::Refused(_))
+}
+
+#[test]
+fn three_servers_end() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 2, &[SHARED, FATAL]);
+    assert_eq!(
+        check(&mut quarantine, 3_000, &[SHARED, FATAL]),
+        Admission::Allowed
+    );
+    crash(&mut quarantine, 3, 1, &[SHARED, FATAL]);
+    assert_eq!(
+        check(&mut quarantine, 4_000, &[SHARED, FATAL]),
+        Admission::Refused(HOLD - Millis(1_000))
+    );
+    assert_eq!(check(&mut quarantine, 4_000, &[11, 12]), Admission::Allowed);
+}
+
+#[test]
+fn crash_counts_once() {
+    let mut quarantine = Quarantine::default();
+    for at in [0, 300, 600] {
+        quarantine.record_crash(Millis(at), 1, &[FATAL]);
+        quarantine.record_crash(Millis(at), 1, &[20, FATAL]);
+    }
+    assert!(!is_refused(&mut quarantine, 1_000, &[FATAL]));
+}
+
+/// A server may start again under the id that it had.
+#[test]
+fn same_server_again() {
+    let mut quarantine = Quarantine::default();
+    for at in [0, 4_000, 8_000] {
+        quarantine.record_crash(Millis(at), 1, &[FATAL]);
+    }
+    assert!(is_refused(&mut quarantine, 9_000, &[FATAL]));
+}
+
+/// A data centre that fails is no fault of the prompts that were there.
+#[test]
+fn servers_end_together() {
+    let mut quarantine = Quarantine::default();
+    for server in 0..9 {
+        quarantine.record_crash(Millis(1_000 + u64::from(server)), server, &[SHARED]);
+    }
+    assert!(!is_refused(&mut quarantine, 2_000, &[SHARED]));
+}
+
+#[test]
+fn sound_answer_clears() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 2, &[SHARED]);
+    quarantine.record_sound(Millis(2_500), &[SHARED, 77]);
+    crash(&mut quarantine, 3, 2, &[SHARED]);
+    assert!(!is_refused(&mut quarantine, 5_000, &[SHARED]));
+}
+
+/// Also where each of the bad requests has another one of the shared parts.
+#[test]
+fn shared_part_is_spared() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(Millis(500), &[SHARED]);
+    crash(&mut quarantine, 1, 3, &[SHARED, FATAL]);
+    assert_eq!(check(&mut quarantine, 4_000, &[SHARED]), Admission::Allowed);
+    assert!(is_refused(&mut quarantine, 4_000, &[11, FATAL]));
+}
+
+#[test]
+fn two_fatal_parts() {
+    let mut quarantine = Quarantine::default();
+    for i in 0..4 {
+        quarantine.record_sound(Millis(i * 1_000), &[SHARED]);
+        crash(&mut quarantine, 2 * i + 1, 1, &[SHARED, FATAL]);
+        crash(&mut quarantine, 2 * i + 2, 1, &[SHARED, OTHER_FATAL]);
+    }
+    assert!(is_refused(&mut quarantine, 9_000, &[FATAL]));
+    assert!(is_refused(&mut quarantine, 9_000, &[OTHER_FATAL]));
+    assert!(!is_refused(&mut quarantine, 9_000, &[SHARED]));
+}
+
+/// A part that was sound and ends servers from some time on.
+#[test]
+fn sound_part_turns_fatal() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(Millis(0), &[FATAL]);
+    crash(&mut quarantine, 1, 4, &[FATAL]);
+    assert!(!is_refused(&mut quarantine, 5_000, &[FATAL]));
+    crash(&mut quarantine, 5, 1, &[FATAL]);
+    assert!(is_refused(&mut quarantine, 6_000, &[FATAL]));
+}
+
+#[test]
+fn some_parts_tried_one_by_one() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 3, &[SHARED, FATAL]);
+    assert_eq!(check(&mut quarantine, 4_000, &[SHARED]), Admission::Allowed);
+    assert_eq!(check(&mut quarantine, 4_100, &[20, FATAL]), Admission::Wait);
+    quarantine.record_sound(Millis(4_500), &[SHARED]);
+    assert!(is_refused(&mut quarantine, 4_600, &[20, FATAL]));
+    assert_eq!(check(&mut quarantine, 4_600, &[SHARED]), Admission::Allowed);
+}
+
+#[test]
+fn crash_of_some_parts() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 3, &[SHARED, FATAL]);
+    assert_eq!(
+        check(&mut quarantine, 4_000, &[20, FATAL]),
+        Admission::Allowed
+    );
+    quarantine.record_crash(Millis(5_000), 9, &[20, FATAL]);
+    assert!(is_refused(&mut quarantine, 5_100, &[30, FATAL]));
+    assert!(!is_refused(&mut quarantine, 5_100, &[SHARED]));
+}
+
+/// Sends what each host has to tell to all others, until there is no news.
+fn exchange(hosts: &mut [Quarantine], now: u64) {
+    for _ in 0..3 {
+        let told: Vec<Option<PromptEvidence>> = hosts
+            .iter_mut()
+            .map(|h| h.evidence(Millis(now), true))
+            .collect();
+        for (from, evidence) in told.iter().enumerate() {
+            let Some(evidence) = evidence else { continue };
+            for (to, host) in hosts.iter_mut().enumerate() {
+                if from != to {
+                    host.merge(Millis(now), evidence);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn hosts_judge_together() {
+    let mut hosts = vec![Quarantine::default(); 4];
+    hosts[3].record_sound(Millis(900), &[SHARED]);
+    for (i, host) in hosts.iter_mut().take(3).enumerate() {
+        crash(host, 1 + i as u64, 1, &[SHARED, FATAL]);
+    }
+    exchange(&mut hosts, 3_100);
+    for host in &mut hosts {
+        assert!(is_refused(host, 3_200, &[20, FATAL]));
+        assert!(!is_refused(host, 3_200, &[SHARED]));
+    }
+}
+
+#[test]
+fn lost_messages_are_repeated() {
+    let mut hosts = vec![Quarantine::default(); 2];
+    crash(&mut hosts[0], 1, 3, &[FATAL]);
+    let lost = hosts[0].evidence(Millis(3_000), false);
+    assert!(lost.is_some());
+    // Long after the crashes, as to a host that was cut off.
+    exchange(&mut hosts, 60_000);
+    assert!(is_refused(&mut hosts[1], 60_100, &[FATAL]));
+}
+
+#[test]
+fn echoes_are_no_news() {
+    let mut hosts = vec![Quarantine::default(); 2];
+    crash(&mut hosts[0], 1, 1, &[SHARED, FATAL]);
+    hosts[1].record_sound(Millis(900), &[SHARED]);
+    exchange(&mut hosts, 1_100);
+    let evidence = hosts[1].evidence(Millis(1_150), true).unwrap();
+    assert!(!hosts[0].merge(Millis(1_200), &evidence));
+}
+
+#[test]
+fn trial_after_hold() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 3, &[FATAL]);
+    let due = 3_000 + HOLD.0;
+    let elsewhere = quarantine.check(Millis(due), &[FATAL], |_| false);
+    assert!(matches!(elsewhere, Admission::Refused(_)));
+    assert_eq!(check(&mut quarantine, due, &[FATAL]), Admission::Allowed);
+    assert!(is_refused(&mut quarantine, due + 10, &[FATAL]));
+    crash(&mut quarantine, due / 1_000 + 1, 1, &[FATAL]);
+    assert!(is_refused(&mut quarantine, due + 1_100 + HOLD.0, &[FATAL]));
+    let due = due + 1_000 + 2 * HOLD.0;
+    assert_eq!(check(&mut quarantine, due, &[FATAL]), Admission::Allowed);
+    quarantine.record_sound(Millis(due + 500), &[FATAL]);
+    for _ in 0..3 {
+        let after = check(&mut quarantine, due + 600, &[FATAL]);
+        assert_eq!(after, Admission::Allowed);
+    }
+}
+
+#[test]
+fn kept_in_the_store() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 3, &[FATAL]);
+    let written = quarantine.take_unwritten();
+    assert_eq!(written.len(), 1);
+    assert!(quarantine.take_unwritten().is_empty());
+    let mut restarted = Quarantine::default();
+    restarted.restore(written[0].parts.clone(), Millis(0), written[0].hold);
+    assert!(is_refused(&mut restarted, 100, &[FATAL]));
+    quarantine.record_sound(Millis(9_000), &[FATAL]);
+    assert_eq!(quarantine.take_lifted(), [vec![FATAL]]);
+}
+
+/// Many prompts with many parts, as a caller may send on purpose.
+#[test]
+fn messages_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    for i in 0..3_000 {
+        let parts: Vec<u64> = (i * 40..i * 40 + 40).collect();
+        let now = Millis(i);
+        quarantine.record_sound(now, &parts);
+        quarantine.record_crash(now + Millis(1), i as u32, &parts);
+        quarantine.restore(parts, now, HOLD);
+    }
+    let evidence = quarantine.evidence(Millis(3_000), true).unwrap();
+    let crash_parts: usize = evidence.crashes.iter().map(|c| c.parts.len()).sum();
+    let fatal_parts: usize = evidence.fatal.iter().map(|f| f.parts.len()).sum();
+    assert!(crash_parts + fatal_parts + evidence.sound.len() <= 72);
+    assert!(quarantine.fatal().len() <= 64);
+}
