gateway, platform: say which limits servers name

The header by which a server names the requests a second that it takes was not read, and no line showed it, so the logs could not tell a limit that no host knows from one that each host keeps by itself. Placement does not use it yet.

--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -49,6 +49,8 @@
     last_reference: Option<Millis>,
     /// When this host last had another one check whether it has failed; `None` if it never did.
     last_check: Option<Millis>,
+    /// Requests that it takes from all hosts together, in thousandths a second; `None` if it names no limit.
+    limit: Option<u64>,
     /// Idle connections, each with the time until which it may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -196,6 +198,14 @@
         }
     }
 
+    /// Records the limit in an answer of a server; returns the one before if it has changed.
+    pub fn record_limit(&self, id: &BackendId, limit: Option<u64>) -> Option<Option<u64>> {
+        let mut fleet = self.lock();
+        let server = fleet.servers.get_mut(id)?;
+        let before = std::mem::replace(&mut server.limit, limit);
+        (before != limit).then_some(before)
+    }
+
     /// Address of a server; `None` if it is not listed or another server has replaced it.
     pub fn addr(&self, id: &BackendId) -> Option<SocketAddr> {
         let fleet = self.lock();
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -184,6 +184,11 @@
     ctx.servers.record_activity(&lease.id, ctx.now());
     let (parts, body) = response.into_parts();
     let head = response::decode(&parts, &job.call.id);
+    if let Some(before) = ctx.servers.record_limit(&lease.id, head.limit) {
+        tracing::info!(
+            server = %lease.id, limit_permille = ?head.limit, ?before, "server changed its limit on requests"
+        );
+    }
     if head.is_foreign || head.is_encoded {
         return Err(Outcome::Broken);
     }
