--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -127,6 +127,8 @@
     /// KV caches of running streams that are held by a backup server: its address, and the id of
     /// the request.
     backups: Arc<Mutex<Vec<(SocketAddr, String)>>>,
+    /// Values of `server-limit` in the answers of backend servers, by server id.
+    limits: Arc<Mutex<Vec<(String, String)>>>,
 }
 
 impl Shared {
@@ -136,6 +138,26 @@
         received.iter().filter(|s| s.id == id).cloned().collect()
     }
 
+    /// Sets the `server-limit` that a server names in all its answers; `None` if it names none.
+    pub fn set_limit(&self, server: &str, limit: Option<&str>) {
+        let mut limits = lock(&self.limits);
+        limits.retain(|(id, _)| id != server);
+        limits.extend(limit.map(|l| (server.to_owned(), l.to_owned())));
+    }
+
+    fn limit(&self, server: &str) -> Option<String> {
+        let limits = lock(&self.limits);
+        let found = limits.iter().find(|(id, _)| id == server);
+        found.map(|(_, limit)| limit.clone())
+    }
+
+    /// The number of runs at a server.
+    pub fn runs_at(&self, server: &str) -> usize {
+        let received = lock(&self.received);
+        let at = |r: &&ReceivedRequest| header(&r.headers, "expect-instance") == server;
+        received.iter().filter(at).count()
+    }
+
     /// The number of runs whose prompt has the part with this id.
     pub fn runs_with_part(&self, part: &str) -> usize {
         let received = lock(&self.received);
@@ -202,6 +224,15 @@
 }
 
 async fn handle(worker: Arc<Worker>, request: Request<Incoming>) -> Response {
+    let limit = worker.shared.limit(&worker.settings.id);
+    let mut response = answer(worker, request).await;
+    if let Some(limit) = limit.and_then(|l| l.parse().ok()) {
+        response.headers_mut().insert("server-limit", limit);
+    }
+    response
+}
+
+async fn answer(worker: Arc<Worker>, request: Request<Incoming>) -> Response {
     match request.uri().path() {
         "/faults" => return worker.faults.handle_request(request).await,
         "/report" if worker.settings.engine => return report(&worker),
