--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod health;
 pub mod place;
 pub mod rule;
+pub mod turns;
 
 pub use choice::{ChoiceRequest, Server, choose};
 pub use health::Health;
--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -48,9 +48,12 @@
             avoid: &avoid,
             ..PlacementRequest::default()
         };
-        let Some(lease) = paths::place(ctx, &request) else {
-            job.log_no_server(ctx);
-            return job.answer_failure(ctx, history.abandon(), "no_server", &FAILURE_TEXTS);
+        let lease = match paths::place_in_turn(ctx, job, &request).await {
+            Ok(lease) => lease,
+            Err(none) => {
+                job.log_no_server(ctx);
+                return job.answer_unplaced(ctx, &history, none.retry, &FAILURE_TEXTS);
+            }
         };
         let time_left = job.time_left(ctx.now()).duration();
         let exchange = exchange(ctx, job, &lease);
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! State of the backend servers at this host: registry rows, load, health and idle connections.
 
+mod limits;
 mod paths;
 
 use std::net::SocketAddr;
@@ -15,6 +16,9 @@
 
 use crate::link::Link;
 
+use limits::Limit;
+pub use limits::NextTurn;
+
 /// Maximum number of idle connections kept per server.
 const MAX_IDLE: usize = 8;
 
@@ -49,8 +53,8 @@
     last_reference: Option<Millis>,
     /// When this host last had another one check whether it has failed; `None` if it never did.
     last_check: Option<Millis>,
-    /// Requests that it takes from all hosts together, in thousandths a second; `None` if it names no limit.
-    limit: Option<u64>,
+    /// What it last said of the requests that it takes.
+    limit: Limit,
     /// Idle connections, each with the time until which it may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -63,6 +67,10 @@
     /// Whether this host's own connections reach the servers of each service.
     contact: Contact,
     servers: Sorted<BackendId, Server>,
+    /// The number of hosts that share the limits of servers; 0 until it is known.
+    hosts: u64,
+    /// Requests of this host that wait for a turn at a limited server, by service.
+    waiting: Sorted<ServiceName, u64>,
 }
 
 /// Handle to the fleet, shared by all requests of a host.
@@ -117,6 +125,11 @@
 }
 
 impl PlacementRequest<'_> {
+    /// Whether a place for a backup is sought, and none for a request.
+    fn is_backup(&self) -> bool {
+        self.load.running == 0
+    }
+
     /// KV cache that a generation needs which starts from its prompt.
     pub fn need(&self) -> Need {
         Need {
@@ -139,6 +152,9 @@
     pub fn place(&self, now: Millis, request: &PlacementRequest<'_>) -> Option<Lease> {
         let mut fleet = self.lock();
         let id = fleet.choose(now, request)?;
+        if !request.is_backup() {
+            fleet.take_turns(&id, now, 1);
+        }
         fleet.lease(self, id, request.load)
     }
 
@@ -158,7 +174,7 @@
         fleet.servers.get(id).map_or(0, |s| s.load.prefill)
     }
 
-    /// Leases the given server; `None` if it may not take new requests.
+    /// Leases the given server, whose turn has been taken if it is limited; `None` if it may not take new requests.
     pub fn lease(&self, now: Millis, id: &BackendId, load: Load) -> Option<Lease> {
         let mut fleet = self.lock();
         if !fleet.roster.get(id)?.is_usable(now) {
@@ -198,14 +214,6 @@
         }
     }
 
-    /// Records the limit in an answer of a server; returns the one before if it has changed.
-    pub fn record_limit(&self, id: &BackendId, limit: Option<u64>) -> Option<Option<u64>> {
-        let mut fleet = self.lock();
-        let server = fleet.servers.get_mut(id)?;
-        let before = std::mem::replace(&mut server.limit, limit);
-        (before != limit).then_some(before)
-    }
-
     /// Address of a server; `None` if it is not listed or another server has replaced it.
     pub fn addr(&self, id: &BackendId) -> Option<SocketAddr> {
         let fleet = self.lock();
@@ -361,6 +369,7 @@
             .roster
             .iter()
             .filter(|(_, m)| m.entry.service.as_str() == request.service && m.is_usable(now))
+            .filter(|(id, _)| self.has_turn(id, now, request.is_backup()))
             .map(|(id, m)| (id, &m.entry))
             .collect();
         let candidates: Vec<Candidate<'_>> = members
@@ -380,6 +389,14 @@
         chosen.into_iter().map(|i| members[i].0.clone()).collect()
     }
 
+    /// Ids of the servers of a service that accept new requests.
+    fn usable(&self, now: Millis, service: &str) -> impl Iterator<Item = &BackendId> {
+        let members = self.roster.iter();
+        let usable =
+            members.filter(move |(_, m)| m.entry.service.as_str() == service && m.is_usable(now));
+        usable.map(|(id, _)| id)
+    }
+
     fn counts(&self, now: Millis, service: &str) -> ServiceCounts {
         let mut counts = ServiceCounts::default();
         let members = self.roster.iter();
@@ -444,6 +461,7 @@
         if let Some(server) = self.servers.get_mut(id) {
             server.idle.clear();
             server.health = Health::default();
+            server.limit = Limit::default();
         }
     }
 }
--- /dev/null
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -0,0 +1,196 @@
+//! Limits that servers name on the requests a second that they take from all hosts together.
+
+use balance::turns::Turns;
+use base::hash::short_hash;
+use base::prelude::*;
+use membership::gossip::ServerLimit;
+
+use super::{Fleet, PlacementRequest, Server, Servers};
+
+/// The number of hosts that share a limit until the list of hosts is read.
+const DEFAULT_HOSTS: u64 = 16;
+
+/// How long a change of a limit is included in messages to other hosts.
+const NEWS_TTL: Millis = Millis(3_000);
+
+/// Maximum number of limits in a message, so that it fits a datagram.
+const MAX_NEWS: usize = 48;
+
+/// What a server last said of its limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Limit {
+    /// This host's turns; `None` without a limit.
+    turns: Option<Turns>,
+    /// When it last said so, to any host; 0 if it never named a limit.
+    said_at: Millis,
+    /// Until when the other hosts are told.
+    told_until: Millis,
+    /// Whether it said so to this host.
+    is_own: bool,
+}
+
+/// How requests for a service get turns at its servers, all of which are limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NextTurn {
+    /// When a request that comes now gets a turn, behind those that wait.
+    pub at: Millis,
+    /// When to look for a turn.
+    pub check: Millis,
+}
+
+impl Limit {
+    /// Applies what the server said at `at`; returns whether that is a change.
+    fn apply(&mut self, now: Millis, at: Millis, limit: Option<u64>, hosts: u64) -> bool {
+        let before = self.turns.map(|t| t.limit());
+        self.said_at = at;
+        match (&mut self.turns, limit) {
+            (turns, None) => *turns = None,
+            (Some(turns), Some(limit)) if turns.limit() != limit => {
+                turns.set_limit(now, limit, hosts);
+            }
+            (Some(_), Some(_)) => {}
+            (turns, Some(limit)) => {
+                *turns = Some(Turns::new(now, limit, hosts, rand::random()));
+            }
+        }
+        before != limit
+    }
+}
+
+impl Servers {
+    /// Sets the number of hosts that share the limits, this one included.
+    pub fn set_hosts(&self, hosts: u64) {
+        self.lock().hosts = hosts;
+    }
+
+    /// Records what a server says of its limit in the answer to a request sent at `sent`; returns whether it has
+    /// changed.
+    pub fn record_limit(
+        &self,
+        id: &BackendId,
+        now: Millis,
+        sent: Millis,
+        limit: Option<u64>,
+    ) -> bool {
+        let mut fleet = self.lock();
+        let hosts = fleet.sharing_hosts();
+        let Some(server) = fleet.servers.get_mut(id) else {
+            return false;
+        };
+        let known = &mut server.limit;
+        // An answer without a limit may have been on its way when another one named it.
+        let is_stale = limit.is_none() && (known.turns.is_none() || sent < known.said_at);
+        if is_stale || !known.apply(now, now, limit, hosts) {
+            return false;
+        }
+        known.told_until = now + NEWS_TTL;
+        known.is_own = true;
+        true
+    }
+
+    /// Takes turns at a server; returns `false` if it is limited and none is due.
+    pub fn take_turns(&self, id: &BackendId, now: Millis, count: u64) -> bool {
+        self.lock().take_turns(id, now, count)
+    }
+
+    /// Whether a server limits its requests.
+    pub fn is_limited(&self, id: &BackendId) -> bool {
+        let fleet = self.lock();
+        let server = fleet.servers.get(id);
+        server.is_some_and(|s| s.limit.turns.is_some())
+    }
+
+    /// The next turn at any server that may take the request; `None` if no server is held back by its limit.
+    pub fn next_turn(&self, now: Millis, request: &PlacementRequest<'_>) -> Option<NextTurn> {
+        let fleet = self.lock();
+        let hosts = fleet.sharing_hosts();
+        let turns = fleet.usable(now, request.service).filter_map(|id| {
+            let server = fleet.servers.get(id)?;
+            let turns = server.limit.turns?;
+            (!server.health.is_ejected(now)).then_some(turns)
+        });
+        let turns: Vec<Turns> = turns.collect();
+        let check = turns.iter().map(|t| t.due(now, hosts)).min()?;
+        let each_ms: f64 = turns.iter().map(|t| 1.0 / t.period(hosts).0 as f64).sum();
+        let service = ServiceName::from(request.service);
+        let ahead = fleet.waiting.get(&service).copied().unwrap_or(0);
+        let behind = Millis((ahead as f64 / each_ms) as u64);
+        Some(NextTurn {
+            at: check.max(now) + behind,
+            check,
+        })
+    }
+
+    /// Counts a request for a service that starts to wait for a turn, or with -1 one that no longer does.
+    pub fn add_waiting(&self, service: &str, change: i64) {
+        let mut fleet = self.lock();
+        let count = fleet.waiting.entry(ServiceName::from(service), || 0);
+        *count = count.saturating_add_signed(change);
+    }
+
+    /// Changes of limits to tell other hosts; a host that passes messages on (`is_hub`) tells what it has heard as well.
+    pub fn limit_news(&self, now: Millis, is_hub: bool) -> Vec<ServerLimit> {
+        let fleet = self.lock();
+        let is_told = |s: &Server| now < s.limit.told_until && (s.limit.is_own || is_hub);
+        let news = fleet.servers.iter().filter(|(_, s)| is_told(s));
+        let news = news.map(|(id, s)| ServerLimit {
+            server: short_hash(id.as_str()),
+            limit: s.limit.turns.map(|t| t.limit()),
+            age: u32::try_from(now.since(s.limit.said_at).0).unwrap_or(u32::MAX),
+        });
+        news.take(MAX_NEWS).collect()
+    }
+
+    /// Applies what other hosts told; returns whether there was news in it.
+    pub fn merge_limits(&self, now: Millis, told: &[ServerLimit]) -> bool {
+        let mut guard = self.lock();
+        let fleet = &mut *guard;
+        let hosts = fleet.sharing_hosts();
+        let mut is_news = false;
+        for one in told {
+            let at = now - Millis(u64::from(one.age));
+            let mut ids = fleet.roster.iter().map(|(id, _)| id);
+            let Some(id) = ids.find(|id| short_hash(id.as_str()) == one.server) else {
+                continue;
+            };
+            let known = &mut fleet.servers.entry(id.clone(), Server::default).limit;
+            if known.said_at < at && known.apply(now, at, one.limit, hosts) {
+                known.told_until = now + NEWS_TTL;
+                known.is_own = false;
+                is_news = true;
+            }
+        }
+        is_news
+    }
+}
+
+impl Fleet {
+    /// The number of hosts that share the limits.
+    fn sharing_hosts(&self) -> u64 {
+        if self.hosts == 0 {
+            DEFAULT_HOSTS
+        } else {
+            self.hosts
+        }
+    }
+
+    /// Whether a server's limit leaves room for a request now. A backup gets no place at a limited server.
+    pub(super) fn has_turn(&self, id: &BackendId, now: Millis, is_backup: bool) -> bool {
+        let turns = self.servers.get(id).and_then(|s| s.limit.turns);
+        turns.is_none_or(|t| !is_backup && t.due(now, self.sharing_hosts()) <= now)
+    }
+
+    /// Takes turns at a server; returns `false` if it is limited and none is due.
+    pub(super) fn take_turns(&mut self, id: &BackendId, now: Millis, count: u64) -> bool {
+        let hosts = self.sharing_hosts();
+        let server = self.servers.get_mut(id);
+        let Some(turns) = server.and_then(|s| s.limit.turns.as_mut()) else {
+            return true;
+        };
+        let is_due = turns.due(now, hosts) <= now;
+        if is_due {
+            turns.take(now, hosts, count);
+        }
+        is_due
+    }
+}
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -32,13 +32,21 @@
         let usage = own_usage(&ctx, now);
         let relays = ctx.gossip().relays();
         let evidence = ctx.quarantine().evidence(now, relays);
+        let limits = ctx.servers.limit_news(now, relays);
+        let hosts = ctx.gossip().known_hosts(now);
+        if let Some(hosts) = hosts {
+            ctx.servers.set_hosts(hosts);
+        }
         let messages = {
             let mut gossip = ctx.gossip();
             let mut messages = gossip.digest(now, usage);
             messages.extend(gossip.centre_sums(now));
             messages.extend(gossip.failed_servers(now));
             if let Some(evidence) = evidence {
-                messages.extend(gossip.prompt_evidence(now, evidence));
+                messages.extend(gossip.news(now, Body::Prompts(evidence)));
+            }
+            if !limits.is_empty() {
+                messages.extend(gossip.news(now, Body::Limits(limits)));
             }
             messages
         };
@@ -144,10 +152,14 @@
     if received.notify_hubs {
         ctx.wake_gossip.notify_one();
     }
-    if let Body::Prompts(evidence) = &message.body
-        && ctx.quarantine().merge(now, evidence)
-    {
-        quarantine::announce(ctx);
+    match &message.body {
+        Body::Prompts(evidence) if ctx.quarantine().merge(now, evidence) => {
+            quarantine::announce(ctx);
+        }
+        Body::Limits(limits) if ctx.servers.merge_limits(now, limits) => {
+            ctx.wake_gossip.notify_one();
+        }
+        _ => {}
     }
     received.answer
 }
--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
 use crate::link::Link;
+use crate::send::Job;
 use crate::tunnel::{self, TunnelError};
 
 /// The interval at which lost paths are tried again.
@@ -21,6 +22,12 @@
 /// Time limit for a server to accept the connection of such a trial.
 const PROBE_TIMEOUT: Millis = Millis(250);
 
+/// Part of a request's time limit, in percent from its arrival, for which it waits for a turn at a limited server.
+const MAX_TURN_WAIT_PERCENT: u64 = 20;
+
+/// The minimum time until a request that waits for a turn looks for one again.
+const MIN_TURN_WAIT: Millis = Millis(10);
+
 /// Opens a connection to a server, through another host if this host's own path has failed; counted under
 /// `cause`.
 ///
@@ -113,6 +120,69 @@
     ctx.paths_lost.notify_one();
 }
 
+/// No server can be chosen for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoServer {
+    /// Time until a limited server may take it; `None` if no server is held back by its limit.
+    pub retry: Option<Millis>,
+}
+
+/// Leases a server for a request; waits for a turn if all usable servers limit their requests.
+///
+/// # Errors
+///
+/// [`NoServer`] if none is usable, or none has a turn within a fifth of the request's time limit.
+pub async fn place_in_turn(
+    ctx: &Context,
+    job: &Job,
+    request: &PlacementRequest<'_>,
+) -> Result<Lease, NoServer> {
+    let limit = job.deadline.since(job.received);
+    let latest = job.received + Millis(limit.0 * MAX_TURN_WAIT_PERCENT / 100);
+    let mut waiting = None;
+    loop {
+        if let Some(lease) = place(ctx, request) {
+            return Ok(lease);
+        }
+        let now = ctx.now();
+        let turn = ctx.servers.next_turn(now, request);
+        let Some(turn) = turn else {
+            return Err(NoServer { retry: None });
+        };
+        // A request that waits already is not behind itself.
+        let at = if waiting.is_some() {
+            turn.check
+        } else {
+            turn.at
+        };
+        if at > latest {
+            let retry = Some(at.since(now));
+            return Err(NoServer { retry });
+        }
+        waiting.get_or_insert_with(|| TurnWait::new(ctx, request.service));
+        ctx.timer.at(turn.check.max(now + MIN_TURN_WAIT)).await;
+    }
+}
+
+/// Counts a request while it waits for a turn.
+struct TurnWait<'a> {
+    ctx: &'a Context,
+    service: &'a str,
+}
+
+impl<'a> TurnWait<'a> {
+    fn new(ctx: &'a Context, service: &'a str) -> Self {
+        ctx.servers.add_waiting(service, 1);
+        Self { ctx, service }
+    }
+}
+
+impl Drop for TurnWait<'_> {
+    fn drop(&mut self) {
+        self.ctx.servers.add_waiting(self.service, -1);
+    }
+}
+
 /// Leases a server for a request; `None` if none is usable.
 ///
 /// If all servers of the service are ejected, the path to them is likelier at fault than all of them, and
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -15,6 +15,8 @@
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
 use crate::link::Link;
+use crate::paths::NoServer;
+use crate::send::Job;
 use crate::{liveness, paths, send};
 
 /// Number of servers polled at once for one placement.
@@ -23,16 +25,27 @@
 /// Maximum number of polls for one placement, each of further servers, while none has room.
 const MAX_ROUNDS: usize = 3;
 
+/// Turns that a poll of a limited server uses: its own and that of the request that may follow.
+const POLL_TURNS: u64 = 2;
+
 /// Time limit for an engine to answer; within a region it takes a few milliseconds.
 const POLL_TIMEOUT: Millis = Millis(60);
 
 /// Leases a server for a prompt: polls a few, and chooses the one with the fewest waiting prompts.
-pub async fn place(ctx: &Arc<Context>, request: &PlacementRequest<'_>) -> Option<Lease> {
+///
+/// # Errors
+///
+/// As [`paths::place_in_turn`].
+pub async fn place(
+    ctx: &Arc<Context>,
+    job: &Job,
+    request: &PlacementRequest<'_>,
+) -> Result<Lease, NoServer> {
     let mut ids = ctx
         .servers
         .shortlist(ctx.now(), request, POLL_SIZE * MAX_ROUNDS);
     if ids.len() < 2 {
-        return paths::place(ctx, request);
+        return paths::place_in_turn(ctx, job, request).await;
     }
     let need = request.need();
     let prompt = Prompt {
@@ -58,7 +71,9 @@
             break;
         }
     }
-    let chosen = best_report(&reports, &need)?;
+    let Some(chosen) = best_report(&reports, &need) else {
+        return paths::place_in_turn(ctx, job, request).await;
+    };
     let cached = reports[chosen].map_or(0, |r| r.cached);
     if request.is_resumed {
         let cause = if cached > 0 { "cached" } else { "not_cached" };
@@ -69,8 +84,11 @@
         prefill: request.load.prefill.saturating_sub(cached),
         ..request.load
     };
-    let lease = ctx.servers.lease(ctx.now(), &ids[chosen], load);
-    lease.or_else(|| paths::place(ctx, request))
+    let is_polled = reports[chosen].is_some();
+    if is_polled && let Some(lease) = ctx.servers.lease(ctx.now(), &ids[chosen], load) {
+        return Ok(lease);
+    }
+    paths::place_in_turn(ctx, job, request).await
 }
 
 /// A prompt to be placed.
@@ -90,6 +108,9 @@
 
 /// Polls one server; `None` if it does not answer or another one that is not usable yet has replaced it.
 async fn poll(ctx: &Arc<Context>, id: &BackendId, prompt: &Prompt) -> Option<Answer> {
+    if !ctx.servers.take_turns(id, ctx.now(), POLL_TURNS) {
+        return None;
+    }
     let exchange = fetch(ctx, id, prompt);
     let (server, report, cached) =
         match tokio::time::timeout(POLL_TIMEOUT.duration(), exchange).await {
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -24,6 +24,9 @@
 /// Time limit for opening a connection; within a data centre it takes a few milliseconds.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
+/// Longest time after which a caller is told to retry a request for which no server has a turn.
+const MAX_TURN_RETRY: Millis = Millis(1_000);
+
 /// A caller's request, with its complete body and the route that it takes.
 #[derive(Debug)]
 pub struct Job {
@@ -90,6 +93,30 @@
         }
     }
 
+    /// The error response for a request for which no server can be chosen; `retry` is the time until a limited server
+    /// may take it, if there is one.
+    pub fn answer_unplaced(
+        &self,
+        ctx: &Context,
+        history: &SendHistory,
+        retry: Option<Millis>,
+        texts: &FailureTexts,
+    ) -> Response<Body> {
+        match (history.abandon(), retry) {
+            (Action::Refuse, Some(retry)) => {
+                let response = reply::refused(
+                    "limited",
+                    "the backend servers take no more requests at present; the request has not run, retry later",
+                    // Another host may have a turn sooner.
+                    retry.min(MAX_TURN_RETRY).0,
+                );
+                self.record_end(ctx, "limited", response.status(), None);
+                response
+            }
+            (action, _) => self.answer_failure(ctx, action, "no_server", texts),
+        }
+    }
+
     /// Logs that no server can be chosen, with the counts that tell the reasons apart.
     pub fn log_no_server(&self, ctx: &Context) {
         let counts = ctx.servers.counts(ctx.now(), self.plan.service.as_str());
@@ -172,6 +199,7 @@
 ) -> Result<OpenResponse, Outcome> {
     let mut link = connect_leased(ctx, lease).await?;
     let request = job.build_request(ctx.now(), lease, options);
+    let sent = ctx.now();
     let response = match link.send(request).await {
         Ok(response) => response,
         Err(SendError::Unsent) => return Err(Outcome::Unsent),
@@ -184,11 +212,6 @@
     ctx.servers.record_activity(&lease.id, ctx.now());
     let (parts, body) = response.into_parts();
     let head = response::decode(&parts, &job.call.id);
-    if let Some(before) = ctx.servers.record_limit(&lease.id, head.limit) {
-        tracing::info!(
-            server = %lease.id, limit_permille = ?head.limit, ?before, "server changed its limit on requests"
-        );
-    }
     if head.is_foreign || head.is_encoded {
         return Err(Outcome::Broken);
     }
@@ -199,6 +222,15 @@
         }
         return Err(Outcome::Moved);
     }
+    if ctx
+        .servers
+        .record_limit(&lease.id, ctx.now(), sent, head.limit)
+    {
+        tracing::info!(
+            server = %lease.id, limit_permille = ?head.limit, "server changed its limit on requests"
+        );
+        ctx.wake_gossip.notify_one();
+    }
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -24,7 +24,7 @@
 use crate::link::Link;
 use crate::liveness;
 use crate::metrics::Cause;
-use crate::paths;
+use crate::paths::{self, NoServer};
 use crate::polling;
 use crate::reply::{Body, StreamCut};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
@@ -87,6 +87,8 @@
     waiting_lost: u32,
     /// Whether an answer got past its beginning, so that the request is not the cause of any server's end.
     is_proven: bool,
+    /// Time until a limited server may take the next attempt; `None` if that is not why none was placed.
+    turn_retry: Option<Millis>,
 }
 
 /// Reason why an attempt yields no more events.
@@ -110,7 +112,15 @@
         let outcome = match state.start_attempt().await {
             Ok(headers) => return state.into_response(headers),
             Err(Some(outcome)) => outcome,
-            Err(None) => return state.answer_failure(state.history.abandon(), "no_server"),
+            Err(None) => {
+                let retry = state.turn_retry;
+                return state.job.answer_unplaced(
+                    &state.ctx,
+                    &state.history,
+                    retry,
+                    &FAILURE_TEXTS,
+                );
+            }
         };
         if outcome == Outcome::TimedOut && state.job.time_left(state.ctx.now()) == Millis(0) {
             return state.answer_failure(Action::ReportUnknown, "timeout");
@@ -146,6 +156,7 @@
             begun_lost: 0,
             waiting_lost: 0,
             is_proven: false,
+            turn_retry: None,
         }
     }
 
@@ -176,14 +187,13 @@
         let backup = self.backup.take();
         let mut lease = match &backup {
             Some(backup) => self
-                .ctx
-                .servers
-                .lease(now, &backup.server.id, self.load(false))
+                .lease_backup(backup, now)
                 .ok_or(Some(Outcome::Unsent))?,
             None => match self.place().await {
-                Some(lease) => lease,
-                None => {
+                Ok(lease) => lease,
+                Err(none) => {
                     self.job.log_no_server(&self.ctx);
+                    self.turn_retry = none.retry;
                     return Err(None);
                 }
             },
@@ -445,7 +455,11 @@
     }
 
     /// Leases a server for an attempt that starts from the prompt.
-    async fn place(&self) -> Option<Lease> {
+    ///
+    /// # Errors
+    ///
+    /// [`NoServer`] if there is none, or none has a turn soon.
+    async fn place(&self) -> Result<Lease, NoServer> {
         let request = PlacementRequest {
             service: self.job.plan.service.as_str(),
             load: self.load(true),
@@ -457,9 +471,19 @@
             is_resumed: self.progress.last_id().is_some(),
         };
         if self.kv.capacity == 0 {
-            return paths::place(&self.ctx, &request);
+            return paths::place_in_turn(&self.ctx, &self.job, &request).await;
+        }
+        polling::place(&self.ctx, &self.job, &request).await
+    }
+
+    /// Leases the server of a backup for an attempt that resumes from it; `None` if it may not take requests now.
+    fn lease_backup(&self, backup: &Backup, now: Millis) -> Option<Lease> {
+        let servers = &self.ctx.servers;
+        let id = &backup.server.id;
+        if !servers.take_turns(id, now, 1) {
+            return None;
         }
-        polling::place(&self.ctx, &request).await
+        servers.lease(now, id, self.load(false))
     }
 
     /// Leases a server for the KV cache backup of the attempt at `lease`; `None` without backups or a usable server.
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -21,8 +21,8 @@
 use base::sorted::{Sorted, distinct};
 
 pub use message::{
-    Body, CrashReport, FailedServer, FatalPrompt, Message, PromptEvidence, SoundPart, Usage,
-    WINDOWS,
+    Body, CrashReport, FailedServer, FatalPrompt, Message, PromptEvidence, ServerLimit, SoundPart,
+    Usage, WINDOWS,
 };
 use order::hub_order;
 pub use order::{ListedPeer, hub_priority};
@@ -313,25 +313,30 @@
         addrs
     }
 
-    /// The messages that tell the hub, or as a hub the members and the other hubs, about prompts that end servers.
-    pub fn prompt_evidence(
-        &mut self,
-        now: Millis,
-        evidence: PromptEvidence,
-    ) -> Vec<(SocketAddr, Message)> {
+    /// The messages that tell the hub, or as a hub the members and the other hubs, what is in `body`:
+    /// [`Body::Prompts`] or [`Body::Limits`].
+    pub fn news(&mut self, now: Millis, body: Body) -> Vec<(SocketAddr, Message)> {
         let mut addrs: Vec<SocketAddr> = self.members.iter().map(|(_, r)| r.addr).collect();
         match self.hub() {
             Some(hub) => addrs.push(hub.addr),
             None => addrs.extend(self.hub_addrs()),
         }
         let message = Message {
-            // Leaves room for the evidence; other messages carry the failed servers.
+            // Leaves room for the body; other messages carry the failed servers.
             failed: Vec::new(),
-            ..self.message(now, Body::Prompts(evidence))
+            ..self.message(now, body)
         };
         to_each(distinct(addrs.into_iter()), &message)
     }
 
+    /// The number of hosts, this one included, by the list or by their reports if these are more; `None` until the
+    /// list has been read.
+    pub fn known_hosts(&self, now: Millis) -> Option<u64> {
+        let listed = self.listed.len() as u64 + 1;
+        let heard = self.fresh_answer(now).map_or(1, |a| u64::from(a.hosts));
+        self.is_listed.then_some(listed.max(heard))
+    }
+
     /// Whether this host passes on what it hears: it is a hub, or others use it as theirs.
     pub fn relays(&self) -> bool {
         self.is_hub() || self.has_members()
@@ -462,8 +467,8 @@
                     });
                 }
             }
-            // Applied by `relay::Quarantine`.
-            Body::Prompts(_) => {}
+            // Applied by `relay::Quarantine` and the gateway's fleet.
+            Body::Prompts(_) | Body::Limits(_) => {}
         }
         received.failed.clone_from(&message.failed);
         received
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -72,6 +72,17 @@
     pub sound: Vec<SoundPart>,
 }
 
+/// What a server last said of the requests that it takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLimit {
+    /// Hash of the server id.
+    pub server: u32,
+    /// Requests in thousandths a second; `None` without a limit.
+    pub limit: Option<u64>,
+    /// Time since it said so, in milliseconds.
+    pub age: u32,
+}
+
 /// A datagram from one host to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -115,4 +126,6 @@
     },
     /// From a host to its hub, and from a hub to its members and the other hubs; hosts of earlier versions skip it.
     Prompts(PromptEvidence),
+    /// As [`Body::Prompts`]: limits of servers that have changed.
+    Limits(Vec<ServerLimit>),
 }
