gateway: bound what is held of answers that never end

A server may send bytes that are no answer without end, in a head or a body, until the caller closes. Heads were bounded by the HTTP client (some 400 KB). Not bounded were the body of a 421, which was read to its end before the connection was used again, and the answers to polls and copy calls; calls were bounded by 16 MiB each, and an unfinished event by 1 MiB. Now a rejection is read for 64 KiB at most, a server's answer about itself for 1 MiB, one of the store for 16 MiB, an event for 256 KiB, and the answers to calls for 32 MiB together beyond the first 64 KiB of each. All of them are bounded in time by the request's time limit, as they were.

--- a/crates/gooseberry-gateway/src/backups.rs
+++ b/crates/gooseberry-gateway/src/backups.rs
@@ -38,6 +38,9 @@
 /// Time limit of a call that copies the KV cache; the copy itself takes a few milliseconds.
 const CALL_TIMEOUT: Millis = Millis(500);
 
+/// Maximum size of the response to a call that copies the KV cache.
+const MAX_RESPONSE_BYTES: usize = 64 << 10;
+
 /// Maximum number of servers probed when a backup server is chosen.
 const MAX_CANDIDATES: usize = 3;
 
@@ -300,7 +303,7 @@
         *request.uri_mut() = Uri::from_static(kv_copy::PATH);
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
-        let answer = link.fetch(request).await;
+        let answer = link.fetch(request, MAX_RESPONSE_BYTES).await;
         let (status, body) = answer.map_err(|_| CallError::Unreachable)?;
         self.ctx
             .servers
--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -4,13 +4,15 @@
 
 use balance::place::Load;
 use base::prelude::*;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Incoming;
 use platform::response::{self, Head};
 use relay::{Action, Outcome, SendHistory};
+use thiserror::Error;
 
-use crate::context::Context;
+use crate::context::{AnswerBytes, Context};
 use crate::fleet::{Lease, PlacementRequest};
 use crate::reply::{self, Body};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
@@ -112,8 +114,8 @@
         link,
     } = opened;
     let (parts, body) = response.into_parts();
-    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match read_answer(ctx, body).await {
+        Ok(body) => body,
         Err(error) => {
             tracing::info!(
                 id = %job.call.id, server = %lease.id, %error,
@@ -131,6 +133,34 @@
     })
 }
 
+/// Why an answer cannot be buffered.
+#[derive(Debug, Error)]
+enum ReadError {
+    /// The connection broke, or the answer is malformed.
+    #[error(transparent)]
+    Broken(#[from] hyper::Error),
+    /// It is larger than [`MAX_ANSWER_BYTES`], or all answers together are larger than a host may buffer.
+    #[error("the answer is too large to be buffered")]
+    TooLarge,
+}
+
+/// Reads a complete answer.
+async fn read_answer(ctx: &Context, mut body: Incoming) -> Result<Bytes, ReadError> {
+    let mut counted = AnswerBytes::new(ctx);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if bytes.len() + data.len() > MAX_ANSWER_BYTES || !counted.add(data.len()) {
+            return Err(ReadError::TooLarge);
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Forwards a server's response to the caller.
 fn deliver(ctx: &Context, job: &Job, answer: FullAnswer, server: &BackendId) -> Response<Body> {
     let (parts, body) = answer.response.into_parts();
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a host.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -23,6 +23,13 @@
 /// digests.
 const RETRY_POLL: Millis = Millis(50);
 
+/// Maximum size of the answers to calls that are buffered at once, so that servers which send without end do not use
+/// up the host's memory.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// Bytes of each answer that do not count.
+const FREE_ANSWER_BYTES: usize = 64 << 10;
+
 /// Time limits set by the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -64,6 +71,8 @@
     /// Retry budget of a service that has had no requests yet.
     initial_budget: Budget,
     budgets: Mutex<Sorted<ServiceName, Budget>>,
+    /// Bytes of answers that are being read now, beyond the first [`FREE_ANSWER_BYTES`] of each.
+    answer_bytes: AtomicUsize,
     /// When the process began to stop, plus 1; 0 before.
     stopping: AtomicU64,
 }
@@ -93,6 +102,7 @@
             limits,
             initial_budget: budget,
             budgets: Mutex::default(),
+            answer_bytes: AtomicUsize::new(0),
             stopping: AtomicU64::new(0),
         }
     }
@@ -234,6 +244,44 @@
     }
 }
 
+/// Counts the bytes of one answer while it is buffered.
+#[derive(Debug)]
+pub struct AnswerBytes<'a> {
+    ctx: &'a Context,
+    bytes: usize,
+}
+
+impl<'a> AnswerBytes<'a> {
+    /// Counts an answer of which nothing has arrived yet.
+    pub fn new(ctx: &'a Context) -> Self {
+        Self { ctx, bytes: 0 }
+    }
+
+    /// Counts bytes that have arrived; returns `false` if all answers together have too many.
+    pub fn add(&mut self, bytes: usize) -> bool {
+        let before = self.counted();
+        self.bytes += bytes;
+        let more = self.counted() - before;
+        let total = self
+            .ctx
+            .answer_bytes
+            .fetch_add(more, Ordering::Relaxed)
+            .saturating_add(more);
+        more == 0 || total <= MAX_ANSWER_BYTES
+    }
+
+    fn counted(&self) -> usize {
+        self.bytes.saturating_sub(FREE_ANSWER_BYTES)
+    }
+}
+
+impl Drop for AnswerBytes<'_> {
+    fn drop(&mut self) {
+        let counted = self.counted();
+        self.ctx.answer_bytes.fetch_sub(counted, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request while it is in flight: until its response is complete or its caller disconnects.
 #[derive(Debug)]
 pub struct InFlight(Arc<Context>);
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
@@ -29,6 +29,8 @@
     Unsent,
     /// The connection broke; the request may have run.
     Broken(hyper::Error),
+    /// The body is larger than the limit; the request may have run.
+    TooLarge,
 }
 
 /// A connection; dropping it closes it at once.
@@ -100,7 +102,7 @@
         }
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response, whose body has at most `max_bytes`.
     ///
     /// # Errors
     ///
@@ -108,11 +110,11 @@
     pub async fn fetch(
         &mut self,
         request: Request<Full<Bytes>>,
+        max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), SendError> {
         let response = self.send(request).await?;
         let status = response.status();
-        let body = response.into_body().collect().await;
-        Ok((status, body.map_err(SendError::Broken)?.to_bytes()))
+        Ok((status, read_body(response.into_body(), max_bytes).await?))
     }
 
     /// Whether the peer has closed the connection.
@@ -127,6 +129,21 @@
     }
 }
 
+/// Reads a complete body of at most `max_bytes`.
+///
+/// # Errors
+///
+/// A [`SendError`] other than `Unsent`.
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, SendError> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => Err(match error.downcast::<hyper::Error>() {
+            Ok(error) => SendError::Broken(*error),
+            Err(_) => SendError::TooLarge,
+        }),
+    }
+}
+
 /// Sets the socket options that detect an unresponsive peer, and disables Nagle's algorithm.
 ///
 /// `user_timeout` is how long sent data may remain unacknowledged; `None` for the system's default.
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, StatusCode, Uri};
 use platform::kv_list;
 use platform::report::{self, Report};
@@ -14,7 +14,7 @@
 
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
-use crate::link::Link;
+use crate::link::{Link, read_body};
 use crate::paths::NoServer;
 use crate::send::Job;
 use crate::{liveness, paths, send};
@@ -28,6 +28,9 @@
 /// Turns that a poll of a limited server uses: its own and that of the request that may follow.
 const POLL_TURNS: u64 = 2;
 
+/// Maximum size of an engine's response about itself; the list of cached prompts is the largest.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
+
 /// Time limit for an engine to answer; within a region it takes a few milliseconds.
 const POLL_TIMEOUT: Millis = Millis(60);
 
@@ -186,7 +189,7 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path;
     let (parts, body) = link.send(request).await.ok()?.into_parts();
-    body.collect().await.ok()?;
+    read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
     let server = response::server(&parts.headers)?;
     liveness::record_restart(ctx, id, &server, report.start_time);
     ctx.servers.addr(&server).map(|_| server)
@@ -209,5 +212,5 @@
 async fn get(link: &mut Link, path: &'static str) -> Option<(StatusCode, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
-    link.fetch(request).await.ok()
+    link.fetch(request, MAX_RESPONSE_BYTES).await.ok()
 }
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -19,11 +19,14 @@
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
 use crate::reply::{self, Body};
-use crate::{liveness, paths};
+use crate::{link, liveness, paths};
 
 /// Time limit for opening a connection; within a data centre it takes a few milliseconds.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
+/// Maximum size of a rejection's body, after which the connection is used again.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+
 /// Longest time after which a caller is told to retry a request for which no server has a turn.
 const MAX_TURN_RETRY: Millis = Millis(1_000);
 
@@ -203,7 +206,7 @@
     let response = match link.send(request).await {
         Ok(response) => response,
         Err(SendError::Unsent) => return Err(Outcome::Unsent),
-        Err(SendError::Broken(_)) => {
+        Err(SendError::Broken(_) | SendError::TooLarge) => {
             ctx.record_broken(&link);
             liveness::handle_failure(ctx, &lease.id);
             return Err(Outcome::Broken);
@@ -217,7 +220,7 @@
     }
     if let Some(new) = &head.answered_by {
         // The body must be read to its end before the connection can carry another request.
-        if body.collect().await.is_ok() {
+        if link::read_body(body, MAX_REJECTION_BYTES).await.is_ok() {
             liveness::adopt(ctx, &lease.id, new, &mut link).await;
         }
         return Err(Outcome::Moved);
--- a/crates/gooseberry-gateway/src/store.rs
+++ b/crates/gooseberry-gateway/src/store.rs
@@ -15,6 +15,9 @@
 use crate::context::Context;
 use crate::link::Link;
 
+/// Maximum size of a response; the store returns pages of at most 1 MB of rows, in base64.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Time limit for opening a connection to the store.
 const CONNECT_TIMEOUT: Millis = Millis(500);
 
@@ -139,7 +142,10 @@
         if let Ok(host) = addr.to_string().parse() {
             headers.insert(HOST, host);
         }
-        let response = link.fetch(request).await.map_err(|_| CallError::Broken)?;
+        let response = link
+            .fetch(request, MAX_RESPONSE_BYTES)
+            .await
+            .map_err(|_| CallError::Broken)?;
         self.link = Some(link);
         Ok(response)
     }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Bytes that may be buffered without the end of an event; more are not a stream of events.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
