gateway: tunnels by HTTP/2, which tell the end of an answer from a loss and notice a lost host

Cause: a tunnel was a plain connection, on which nothing is to be expected while an answer is on its way. For the same reason an answer that ends with its connection could not be trusted, and a request that had run was answered with 502. Ruled out: keep-alive probes of the kernel (seconds, and none while data is unacknowledged), a time limit for unacknowledged data (cuts slow readers). Change: a tunnel is a stream of HTTP/2. The host in between pings each 150 ms and closes the server's connection if no answer comes within 300 ms; it ends the stream only if the server ended its answer, and otherwise closes the connection. It waits for the other host to have read the answer. Hosts of the version before are answered by HTTP/1 and not asked, as they name no address for HTTP/2.

--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -39,9 +39,12 @@
     peers: SocketAddr,
     /// The data centre of the host.
     data_centre: DataCentre,
-    /// Address at which it opens tunnels; absent in rows of earlier versions.
+    /// Address at which it opens tunnels, for hosts of earlier versions, which ask by HTTP/1.
     #[serde(default)]
     tunnels: Option<SocketAddr>,
+    /// Address at which it opens tunnels by HTTP/2; absent in rows of earlier versions.
+    #[serde(default)]
+    tunnels_h2: Option<SocketAddr>,
     /// The host's priority as a hub; absent in rows of earlier versions.
     #[serde(default)]
     hub_priority: u64,
@@ -53,6 +56,7 @@
         peers: own.addr,
         data_centre: own.data_centre,
         tunnels: own.tunnels,
+        tunnels_h2: own.tunnels,
         hub_priority: own.hub_priority,
     };
     // Serialising an address and a name to JSON cannot fail.
@@ -140,7 +144,7 @@
         host: HostId::from(row.key.as_str()),
         data_centre: entry.data_centre,
         addr: entry.peers,
-        tunnels: entry.tunnels,
+        tunnels: entry.tunnels_h2,
         hub_priority: entry.hub_priority,
     })
 }
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -8,11 +8,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
+use hyper::upgrade::Upgraded;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Idle time before the first TCP keepalive probe, and interval between probes; the shortest that the kernel
 /// supports.
@@ -42,6 +45,8 @@
     pub is_used: bool,
     /// Address of the host that opened it as a tunnel; `None` for a connection of this host's own.
     pub tunnel: Option<SocketAddr>,
+    /// Runs the connection to that host.
+    _carrier: Option<AbortOnDropHandle<()>>,
 }
 
 impl Link {
@@ -55,18 +60,31 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         tune(&stream, Some(USER_TIMEOUT));
-        Self::over(stream, None).await
+        Self::over(TokioIo::new(stream), None, None).await
     }
 
-    /// Sends requests over an open connection, which the host at `tunnel` may have opened as a tunnel.
+    /// Sends requests over a tunnel through the host at `host`; `carrier` runs the connection to that host.
     ///
     /// # Errors
     ///
     /// The error of the HTTP client, which does not occur on an open connection.
-    pub async fn over(stream: TcpStream, tunnel: Option<SocketAddr>) -> io::Result<Self> {
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+    pub async fn through(
+        tunnel: Upgraded,
+        host: SocketAddr,
+        carrier: AbortOnDropHandle<()>,
+    ) -> io::Result<Self> {
+        Self::over(tunnel, Some(host), Some(carrier)).await
+    }
+
+    async fn over<T>(
+        stream: T,
+        tunnel: Option<SocketAddr>,
+        carrier: Option<AbortOnDropHandle<()>>,
+    ) -> io::Result<Self>
+    where
+        T: Read + Write + Unpin + Send + 'static,
+    {
+        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection closed with an error");
@@ -77,6 +95,7 @@
             driver: task.abort_handle(),
             is_used: false,
             tunnel,
+            _carrier: carrier,
         })
     }
 
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -237,10 +237,6 @@
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
-    // Such a body also ends if the host that forwards it exits, so it may be truncated.
-    if head.ends_by_close && link.tunnel.is_some() {
-        return Err(Outcome::Broken);
-    }
     if head.status.is_success() && !head.is_sealed {
         return Err(Outcome::Broken);
     }
--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -1,4 +1,7 @@
-//! Tunnels to backend servers through other hosts, by the `CONNECT` method of HTTP.
+//! Tunnels to backend servers through other hosts, by the `CONNECT` method of HTTP/2.
+//!
+//! A stream of HTTP/2 tells its end from a loss, so that an answer which ends with its connection can be trusted, and
+//! its pings are answered however slowly the tunnel is read, so that either host notices the loss of the other.
 //!
 //! The other host connects to the server and forwards bytes in both directions without parsing them; it neither
 //! chooses a server nor retries a request. The host that received the request keeps all decisions: the server,
@@ -13,10 +16,10 @@
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::Empty;
-use hyper::client::conn::http1;
+use hyper::client::conn::http2;
 use hyper::header::HeaderName;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use membership::tunnels::TunnelRequest;
 use strum::{Display, EnumString, IntoStaticStr};
 use thiserror::Error;
@@ -32,6 +35,19 @@
 /// Says why a host does not open a tunnel, as a [`Refusal`].
 const REFUSAL: HeaderName = HeaderName::from_static("tunnel-refusal");
 
+/// Interval at which both ends of a tunnel check that the other one is there.
+const PING_INTERVAL: Millis = Millis(150);
+
+/// Time limit for the host in between to answer a ping.
+const HOST_PING_TIMEOUT: Millis = Millis(1_000);
+
+/// Time limit for the host that asked for a tunnel to answer a ping. It is short, as the request goes on elsewhere when
+/// that host loses its way to this one, and the server must not work on it any longer then.
+const ASKER_PING_TIMEOUT: Millis = Millis(300);
+
+/// Bytes in flight of a tunnel.
+const WINDOW_BYTES: u32 = 128 << 10;
+
 /// Time limit for a host to accept a connection.
 const CONNECT_TIMEOUT: Millis = Millis(100);
 
@@ -185,10 +201,16 @@
     let connected = connecting.await.map_err(|_| None)?;
     let stream = connected.map_err(|_| None)?;
     link::tune(&stream, Some(link::USER_TIMEOUT));
-    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
+    let handshake = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL.duration())
+        .keep_alive_timeout(HOST_PING_TIMEOUT.duration())
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(|_| None)?;
-    let _driver = AbortOnDropHandle::new(tokio::spawn(async move {
-        if let Err(error) = connection.with_upgrades().await {
+    let carrier = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = connection.await {
             tracing::debug!(%error, "connection for a tunnel closed with an error");
         }
     }));
@@ -201,13 +223,6 @@
         return Err(Some(text.parse().unwrap_or(Refusal::Unreadable)));
     }
     let upgraded = hyper::upgrade::on(response).await.map_err(|_| None)?;
-    let parts = upgraded
-        .downcast::<TokioIo<TcpStream>>()
-        .map_err(|_| None)?;
-    // The server has no request yet, so that bytes from it belong to none.
-    if !parts.read_buf.is_empty() {
-        return Err(None);
-    }
-    let stream = parts.io.into_inner();
-    Link::over(stream, Some(host)).await.map_err(|_| None)
+    let link = Link::through(upgraded, host, carrier);
+    link.await.map_err(|_| None)
 }
--- a/crates/gooseberry-gateway/src/tunnel/serve.rs
+++ b/crates/gooseberry-gateway/src/tunnel/serve.rs
@@ -9,15 +9,16 @@
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, copy};
+use tokio::io::{AsyncWriteExt, copy, sink, split};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
-use super::{REFUSAL, Refusal, SERVER};
+use super::{ASKER_PING_TIMEOUT, PING_INTERVAL, REFUSAL, Refusal, SERVER, WINDOW_BYTES};
 use crate::context::{Context, InFlight};
 use crate::{link, liveness, paths};
 
@@ -46,28 +47,59 @@
     }
 }
 
+/// The connection of a host that asked for a tunnel.
+#[derive(Clone, Debug, Default)]
+struct Carrier {
+    /// Closes the connection, so that the other host does not take the end of the tunnel for that of an answer.
+    abort: CancellationToken,
+    /// Cancelled when the connection is closed.
+    closed: CancellationToken,
+}
+
 async fn connection(ctx: Arc<Context>, stream: TcpStream) {
+    let carrier = Carrier::default();
+    let _closed = carrier.closed.clone().drop_guard();
+    let abort = carrier.abort.clone();
     let service = service_fn(move |request| {
-        let ctx = Arc::clone(&ctx);
-        async move { Ok::<_, Infallible>(answer(&ctx, request).await) }
+        let (ctx, carrier) = (Arc::clone(&ctx), carrier.clone());
+        async move { Ok::<_, Infallible>(answer(&ctx, request, carrier).await) }
     });
-    let serving = http1::Builder::new()
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    // Hosts of the version before ask by HTTP/1.
+    builder
+        .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT.duration())
-        .serve_connection(TokioIo::new(stream), service)
-        .with_upgrades();
-    if let Err(error) = serving.await {
-        tracing::debug!(%error, "connection for a tunnel ended with an error");
+        .header_read_timeout(HEAD_TIMEOUT.duration());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL.duration())
+        .keep_alive_timeout(ASKER_PING_TIMEOUT.duration())
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES);
+    let serving = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+    tokio::select! {
+        biased;
+        () = abort.cancelled() => {}
+        result = serving => {
+            if let Err(error) = result {
+                tracing::debug!(%error, "connection for a tunnel ended with an error");
+            }
+        }
     }
 }
 
 /// Connects to the server and starts the tunnel, or refuses it.
-async fn answer(ctx: &Arc<Context>, request: Request<Incoming>) -> Response<Empty<Bytes>> {
+async fn answer(
+    ctx: &Arc<Context>,
+    request: Request<Incoming>,
+    carrier: Carrier,
+) -> Response<Empty<Bytes>> {
     let mut response = Response::new(Empty::new());
     match connect(ctx, &request).await {
         Ok((server, far, guard)) => {
             tokio::spawn(async move {
-                if let Err(error) = run(request, far).await {
+                if let Err(error) = run(request, far, &carrier).await {
                     tracing::debug!(%server, %error, "tunnel ended with an error");
                 }
                 drop(guard);
@@ -152,15 +184,14 @@
 }
 
 /// Passes bytes on in both directions until one end closes or fails.
-async fn run(request: Request<Incoming>, mut far: TcpStream) -> std::io::Result<()> {
+async fn run(
+    request: Request<Incoming>,
+    mut far: TcpStream,
+    carrier: &Carrier,
+) -> std::io::Result<()> {
     let upgraded = hyper::upgrade::on(request).await;
-    let upgraded = upgraded.map_err(std::io::Error::other)?;
-    let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
-        return Err(std::io::Error::other("the connection is of another type"));
-    };
-    let mut near = parts.io.into_inner();
-    far.write_all(&parts.read_buf).await?;
-    let (mut near_read, mut near_write) = near.split();
+    let near = TokioIo::new(upgraded.map_err(std::io::Error::other)?);
+    let (mut near_read, mut near_write) = split(near);
     let (mut far_read, mut far_write) = far.split();
     let result = tokio::select! {
         // The other host no longer waits for an answer, or its connection failed.
@@ -168,11 +199,15 @@
         result = copy(&mut far_read, &mut near_write) => result.map(|_| true),
     };
     if let Ok(true) = result {
-        return near.shutdown().await;
-    }
-    // An answer that breaks off must not look complete to the other host, nor a request to the server.
-    for stream in [&near, &far] {
-        SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+        near_write.shutdown().await?;
+        // The other host closes the tunnel when it has read the answer; closing it here would lose what is on its way.
+        return copy(&mut near_read, &mut sink()).await.map(|_| ());
     }
+    // A request that breaks off must not look complete to the server.
+    SockRef::from(&far).set_linger(Some(Duration::ZERO))?;
+    drop(far);
+    // The stream ends cleanly when its halves are dropped, so the connection has to be closed first.
+    carrier.abort.cancel();
+    carrier.closed.cancelled().await;
     result.map(|_| ())
 }
