gateway: a caller that stops reading for a while does not count as a silent server

Callers saw: a stream that they read slowly was cut off. After a pause in which the caller read nothing, the time since the last event was taken as silence of the server, and if the next event had not arrived whole, which over a tunnel takes a round trip, the attempt failed; where no other server was left, the stream was cut. Cause: the limit for silence counted from the last event passed on, also while the server was not read. Change: it counts from the moment at which the caller asks for the next event. The test slow_caller_through_tunnel failed before (three of three runs) and passes; slow_caller_is_not_cut, without a tunnel, passed before as well.

--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -296,6 +296,8 @@
 
     /// The next event to be forwarded, as bytes; `None` after the last one.
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, StreamCut> {
+        // While the caller reads nothing, the server is not read either, which is no failure of it.
+        self.progress.reset_idle_timer(self.ctx.now());
         loop {
             match self.read_event().await {
                 Ok(event) => match self.progress.record(self.ctx.now(), &event) {
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -62,8 +62,8 @@
         EventAction::Forward
     }
 
-    /// Restarts the measured gap when an attempt is opened at another server, so that the time without events
-    /// before it is not counted.
+    /// Restarts the measured gap, so that the time without events before it is not counted: when an attempt is opened at
+    /// another server, and when the caller asks for the next event.
     pub fn reset_idle_timer(&mut self, now: Millis) {
         self.idle_since = now;
     }
