membership, gateway: a server that says it is leaving gets no new requests

Change: the first answer with it, to a request or a poll, takes the server out of use for requests, retries, resumes and backups; what runs there goes on. No row brings it back, only another start or id. The other hosts hear of it.

--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! State of the backend servers at this host: registry rows, load, health and idle connections.
 
+mod departures;
 mod limits;
 mod paths;
 
@@ -53,6 +54,10 @@
     last_reference: Option<Millis>,
     /// When this host last had another one check whether it has failed; `None` if it never did.
     last_check: Option<Millis>,
+    /// Until when the other hosts are told that it has said that it is leaving.
+    departure_told_until: Millis,
+    /// Whether it has said so to this host.
+    is_own_departure: bool,
     /// What it last said of the requests that it takes.
     limit: Limit,
     /// Idle connections, each with the time until which it may be used.
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -33,6 +33,7 @@
         let relays = ctx.gossip().relays();
         let evidence = ctx.quarantine().evidence(now, relays);
         let limits = ctx.servers.limit_news(now, relays);
+        let departures = ctx.servers.departure_news(now, relays);
         let hosts = ctx.gossip().known_hosts(now);
         if let Some(hosts) = hosts {
             ctx.servers.set_hosts(hosts);
@@ -48,6 +49,9 @@
             if !limits.is_empty() {
                 messages.extend(gossip.news(now, Body::Limits(limits)));
             }
+            if !departures.is_empty() {
+                messages.extend(gossip.news(now, Body::Departures(departures)));
+            }
             messages
         };
         // With a hub that answers, the shared usage is applied when the answer arrives.
@@ -159,6 +163,9 @@
         Body::Limits(limits) if ctx.servers.merge_limits(now, limits) => {
             ctx.wake_gossip.notify_one();
         }
+        Body::Departures(departures) if ctx.servers.merge_departures(now, departures) => {
+            ctx.wake_gossip.notify_one();
+        }
         _ => {}
     }
     received.answer
--- a/crates/gooseberry-gateway/src/lib.rs
+++ b/crates/gooseberry-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod liveness;
 pub mod metrics;
+pub mod notices;
 pub mod paths;
 pub mod polling;
 pub mod quarantine;
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http_body_util::Full;
+use hyper::http::response::Parts;
 use hyper::{Request, StatusCode, Uri};
 use platform::kv_list;
 use platform::report::{self, Report};
@@ -17,7 +18,7 @@
 use crate::link::{Link, read_body};
 use crate::paths::NoServer;
 use crate::send::Job;
-use crate::{liveness, paths, send};
+use crate::{liveness, notices, paths, send};
 
 /// Number of servers polled at once for one placement.
 const POLL_SIZE: usize = 3;
@@ -154,7 +155,9 @@
             return None;
         }
     };
-    let report = fetch_report(&mut link).await?;
+    let (parts, body) = get_parts(&mut link, report::PATH).await?;
+    notices::record(ctx, id, None, &response::decode(&parts, ""));
+    let report = report::decode(parts.status, &body)?;
     let started = ctx.servers.start_time(id);
     let server = if started.is_some_and(|at| at < report.start_time) {
         restarted_server(ctx, id, &report, &mut link).await?
@@ -208,9 +211,17 @@
     report::decode(status, &body)
 }
 
-/// Sends a GET request and reads the complete response; `None` if the connection fails.
-async fn get(link: &mut Link, path: &'static str) -> Option<(StatusCode, Bytes)> {
+/// Sends a GET request and reads the complete response, of which it returns the head as well; `None` if the connection
+/// fails.
+async fn get_parts(link: &mut Link, path: &'static str) -> Option<(Parts, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
-    link.fetch(request, MAX_RESPONSE_BYTES).await.ok()
+    let (parts, body) = link.send(request).await.ok()?.into_parts();
+    Some((parts, read_body(body, MAX_RESPONSE_BYTES).await.ok()?))
+}
+
+/// Sends a GET request and reads the complete response; `None` if the connection fails.
+async fn get(link: &mut Link, path: &'static str) -> Option<(StatusCode, Bytes)> {
+    let (parts, body) = get_parts(link, path).await?;
+    Some((parts.status, body))
 }
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -19,7 +19,7 @@
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
 use crate::reply::{self, Body};
-use crate::{link, liveness, paths};
+use crate::{link, liveness, notices, paths};
 
 /// Time limit for opening a connection; within a data centre it takes a few milliseconds.
 const CONNECT_TIMEOUT: Millis = Millis(250);
@@ -225,15 +225,7 @@
         }
         return Err(Outcome::Moved);
     }
-    if ctx
-        .servers
-        .record_limit(&lease.id, ctx.now(), sent, head.limit)
-    {
-        tracing::info!(
-            server = %lease.id, limit_permille = ?head.limit, "server changed its limit on requests"
-        );
-        ctx.wake_gossip.notify_one();
-    }
+    notices::record(ctx, &lease.id, Some(sent), &head);
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
--- a/crates/gooseberry-gateway/tests/server_limits.rs
+++ b/crates/gooseberry-gateway/tests/server_limits.rs
@@ -50,7 +50,7 @@
     let (site, other) = site().await;
     let gateways = [&site.gateway, &other];
     let limit = 1.0;
-    site.shared.set_limit("p-1", Some("1.0"));
+    site.shared.set_header("p-1", "server-limit", Some("1.0"));
     while site.shared.runs_at("p-1") < 4 {
         send_calls(&gateways, "tell", 2).await;
     }
@@ -75,7 +75,7 @@
             .sum::<usize>()
     };
     for server in servers {
-        site.shared.set_limit(server, Some("2"));
+        site.shared.set_header(server, "server-limit", Some("2"));
     }
     let is_limited =
         |g: &Gateway| servers.map(|s| g.ctx.servers.is_limited(&BackendId::from(s))) == [true; 2];
@@ -113,7 +113,7 @@
 async fn other_hosts_hear_it() {
     let (site, other) = site().await;
     let id = BackendId::from("p-1");
-    site.shared.set_limit("p-1", Some("50"));
+    site.shared.set_header("p-1", "server-limit", Some("50"));
     while !site.gateway.ctx.servers.is_limited(&id) {
         send_calls(&[&site.gateway], "tell", 2).await;
     }
@@ -121,7 +121,7 @@
         other.ctx.servers.is_limited(&id)
     })
     .await;
-    site.shared.set_limit("p-1", None);
+    site.shared.set_header("p-1", "server-limit", None);
     while site.gateway.ctx.servers.is_limited(&id) {
         send_calls(&[&site.gateway], "end", 2).await;
     }
@@ -135,8 +135,8 @@
 async fn unreadable_limits() {
     let (site, other) = site().await;
     for value in ["-3", "NaN", "inf", "soon", "0x1", ""] {
-        site.shared.set_limit("p-1", Some(value));
-        site.shared.set_limit("p-2", Some(value));
+        site.shared.set_header("p-1", "server-limit", Some(value));
+        site.shared.set_header("p-2", "server-limit", Some(value));
         let statuses = send_calls(&[&site.gateway, &other], value, 12).await;
         assert!(statuses.iter().all(|s| *s == StatusCode::OK), "{value}");
     }
@@ -147,7 +147,7 @@
 async fn limited_engine() {
     let (site, other) = site().await;
     let id = BackendId::from("e-1");
-    site.shared.set_limit("e-1", Some("1"));
+    site.shared.set_header("e-1", "server-limit", Some("1"));
     let send = async |name: String, gateway: &Gateway| {
         let addr = gateway.listen.callers;
         let mut link = Link::open(addr, Millis(5_000)).await.unwrap();
--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -116,6 +116,9 @@
     pub body: Bytes,
 }
 
+/// A header of all answers of a server: the server's id, the name and the value.
+type ServerHeader = (String, &'static str, String);
+
 /// State shared by the backend servers of one test.
 #[derive(Clone, Debug, Default)]
 pub struct Shared {
@@ -127,8 +130,12 @@
     /// KV caches of running streams that are held by a backup server: its address, and the id of
     /// the request.
     backups: Arc<Mutex<Vec<(SocketAddr, String)>>>,
-    /// Values of `server-limit` in the answers of backend servers, by server id.
-    limits: Arc<Mutex<Vec<(String, String)>>>,
+    /// Headers that backend servers add to all their answers: server id, name and value.
+    headers: Arc<Mutex<Vec<ServerHeader>>>,
+    /// Ids of the servers that reject all requests as not executed.
+    rejecting: Arc<Mutex<Vec<String>>>,
+    /// Requests that were rejected: the id of the server of each.
+    rejected: Arc<Mutex<Vec<String>>>,
 }
 
 impl Shared {
@@ -138,17 +145,28 @@
         received.iter().filter(|s| s.id == id).cloned().collect()
     }
 
-    /// Sets the `server-limit` that a server names in all its answers; `None` if it names none.
-    pub fn set_limit(&self, server: &str, limit: Option<&str>) {
-        let mut limits = lock(&self.limits);
-        limits.retain(|(id, _)| id != server);
-        limits.extend(limit.map(|l| (server.to_owned(), l.to_owned())));
+    /// Sets a header that a server adds to all its answers; `None` removes it.
+    pub fn set_header(&self, server: &str, name: &'static str, value: Option<&str>) {
+        let mut headers = lock(&self.headers);
+        headers.retain(|(id, n, _)| id != server || *n != name);
+        headers.extend(value.map(|v| (server.to_owned(), name, v.to_owned())));
+    }
+
+    /// Makes a server reject all requests as not executed.
+    pub fn reject_all(&self, server: &str) {
+        lock(&self.rejecting).push(server.to_owned());
     }
 
-    fn limit(&self, server: &str) -> Option<String> {
-        let limits = lock(&self.limits);
-        let found = limits.iter().find(|(id, _)| id == server);
-        found.map(|(_, limit)| limit.clone())
+    /// The number of requests that a server has rejected.
+    pub fn rejections_at(&self, server: &str) -> usize {
+        let rejected = lock(&self.rejected);
+        rejected.iter().filter(|id| *id == server).count()
+    }
+
+    fn headers(&self, server: &str) -> Vec<(&'static str, String)> {
+        let headers = lock(&self.headers);
+        let own = headers.iter().filter(|(id, _, _)| id == server);
+        own.map(|(_, name, value)| (*name, value.clone())).collect()
     }
 
     /// The number of runs at a server.
@@ -224,10 +242,12 @@
 }
 
 async fn handle(worker: Arc<Worker>, request: Request<Incoming>) -> Response {
-    let limit = worker.shared.limit(&worker.settings.id);
+    let headers = worker.shared.headers(&worker.settings.id);
     let mut response = answer(worker, request).await;
-    if let Some(limit) = limit.and_then(|l| l.parse().ok()) {
-        response.headers_mut().insert("server-limit", limit);
+    for (name, value) in headers {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
     }
     response
 }
@@ -267,9 +287,12 @@
         Some(Quirk::Reject) => true,
         _ => false,
     };
+    let server = &worker.settings.id;
+    let is_rejected = is_rejected || lock(&worker.shared.rejecting).contains(server);
     let source = header(&head.headers, "kv-from");
     let is_full = *lock(&worker.running) >= worker.settings.slots;
     if is_rejected || is_full || !has_backup(&worker, source, &id) {
+        lock(&worker.shared.rejected).push(server.clone());
         if quirk == Some(Quirk::RejectFirst) {
             lock(&worker.shared.abandoned).push(id);
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -21,8 +21,8 @@
 use base::sorted::{Sorted, distinct};
 
 pub use message::{
-    Body, CrashReport, FailedServer, FatalPrompt, Message, PromptEvidence, ServerLimit, SoundPart,
-    Usage, WINDOWS,
+    Body, CrashReport, Departure, FailedServer, FatalPrompt, Message, PromptEvidence, ServerLimit,
+    SoundPart, Usage, WINDOWS,
 };
 use order::hub_order;
 pub use order::{ListedPeer, hub_priority};
@@ -314,7 +314,7 @@
     }
 
     /// The messages that tell the hub, or as a hub the members and the other hubs, what is in `body`:
-    /// [`Body::Prompts`] or [`Body::Limits`].
+    /// [`Body::Prompts`], [`Body::Limits`] or [`Body::Departures`].
     pub fn news(&mut self, now: Millis, body: Body) -> Vec<(SocketAddr, Message)> {
         let mut addrs: Vec<SocketAddr> = self.members.iter().map(|(_, r)| r.addr).collect();
         match self.hub() {
@@ -468,7 +468,7 @@
                 }
             }
             // Applied by `relay::Quarantine` and the gateway's fleet.
-            Body::Prompts(_) | Body::Limits(_) => {}
+            Body::Prompts(_) | Body::Limits(_) | Body::Departures(_) => {}
         }
         received.failed.clone_from(&message.failed);
         received
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -83,6 +83,15 @@
     pub age: u32,
 }
 
+/// A server that has said that it is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Hash of the server id.
+    pub server: u32,
+    /// Unix time of its start, in milliseconds, as far as the sender knows; 0 if it does not.
+    pub start_time: u64,
+}
+
 /// A datagram from one host to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -128,4 +137,6 @@
     Prompts(PromptEvidence),
     /// As [`Body::Prompts`]: limits of servers that have changed.
     Limits(Vec<ServerLimit>),
+    /// As [`Body::Prompts`]: servers that have said that they are leaving.
+    Departures(Vec<Departure>),
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -40,6 +40,9 @@
     pub start_time: u64,
 }
 
+/// Servers that have said that they are leaving and are remembered after their rows are gone.
+const MAX_DEPARTED: usize = 1_024;
+
 /// A registry row with the state that this host derives for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -54,6 +57,8 @@
     pub is_replaced: bool,
     /// Whether the server was observed at the address of another one but is not registered yet.
     pub is_adopted: bool,
+    /// Whether the server itself has said that it is leaving.
+    pub is_departing: bool,
 }
 
 impl Member {
@@ -61,6 +66,7 @@
     pub fn is_usable(&self, now: Millis) -> bool {
         self.entry.state == State::Serving
             && !self.is_replaced
+            && !self.is_departing
             && self.expires.is_none_or(|at| now < at)
     }
 }
@@ -87,6 +93,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     members: Sorted<BackendId, Member>,
+    /// Start times of the servers that have said that they are leaving, also of those that are not listed.
+    departed: Sorted<BackendId, u64>,
     /// When the registry recovered from its last outage; `None` if there was none.
     available_since: Option<Millis>,
     /// Whether the registry does not answer.
@@ -115,13 +123,44 @@
     /// Applies a row unless a newer revision is held.
     pub fn put(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
         let addr = entry.addr;
-        let change = self.insert(id, entry, revision);
+        let change = self.insert(id.clone(), entry, revision);
+        self.update_departing(&id);
         if change != Change::None {
             self.mark_replaced(addr);
         }
         change
     }
 
+    /// Records that a server has said that it is leaving; returns whether that is news. No row makes it usable again,
+    /// only another start.
+    pub fn record_departure(&mut self, id: &BackendId) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        if member.is_departing {
+            return false;
+        }
+        member.is_departing = true;
+        self.departed.insert(id.clone(), member.entry.start_time);
+        if self.departed.len() > MAX_DEPARTED {
+            let members = &self.members;
+            self.departed.retain(|id, _| members.get(id).is_some());
+        }
+        true
+    }
+
+    /// Applies to a listed server what it has said since its start.
+    fn update_departing(&mut self, id: &BackendId) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        let departed = self.departed.get(id).copied();
+        member.is_departing = departed.is_some_and(|start| member.entry.start_time <= start);
+        if !member.is_departing && departed.is_some() {
+            self.departed.remove(id);
+        }
+    }
+
     /// Marks the servers at `addr` that a later one has replaced.
     ///
     /// The row of a crashed server stays until its heartbeats have been missing for a while, and the server
@@ -147,6 +186,7 @@
                 expires: None,
                 is_replaced: false,
                 is_adopted: false,
+                is_departing: false,
             };
             self.members.insert(id, member);
             return change;
@@ -179,6 +219,7 @@
         };
         if old == id {
             held.entry.start_time = start_time;
+            self.update_departing(id);
             return Change::Restarted;
         }
         held.is_replaced = true;
@@ -196,6 +237,7 @@
             expires: None,
             is_replaced: false,
             is_adopted: true,
+            is_departing: false,
         };
         self.members.insert(id.clone(), member);
         Change::Added
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -137,3 +137,24 @@
     assert!(usable(&roster, "new", end - 1), "its row is awaited");
     assert!(!usable(&roster, "new", end), "no row came");
 }
+
+/// Neither a row that is read again nor one that returns after its removal makes such a server usable.
+#[test]
+fn server_says_that_it_leaves() {
+    let mut roster = Roster::default();
+    let id = BackendId::from("i-1");
+    roster.put(id.clone(), entry(1, State::Serving, 7), 5);
+    assert!(roster.record_departure(&id));
+    assert!(!roster.record_departure(&id), "no news");
+    assert!(!usable(&roster, "i-1", 0));
+    roster.put(id.clone(), entry(1, State::Serving, 7), 6);
+    assert!(!usable(&roster, "i-1", 0));
+    roster.remove(&id, 7, Millis(0));
+    roster.put(id.clone(), entry(1, State::Serving, 7), 8);
+    assert!(!usable(&roster, "i-1", 0));
+    roster.put(id.clone(), entry(1, State::Serving, 9), 9);
+    assert!(usable(&roster, "i-1", 0), "it has started again");
+    assert!(roster.record_departure(&id));
+    roster.adopt(&id, &id, 11);
+    assert!(usable(&roster, "i-1", 0), "it has started again");
+}
