gateway: a server that turns a host away with Retry-After is left alone for that long

Change: the server is paused at this host for the time it names, up to a tenth longer so that hosts do not return at once. The tests server_turns_host_away and all_servers_turn_host_away failed before and pass.

--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -54,6 +54,8 @@
     last_reference: Option<Millis>,
     /// When this host last had another one check whether it has failed; `None` if it never did.
     last_check: Option<Millis>,
+    /// Until when it wants no requests from this host.
+    paused_until: Millis,
     /// Until when the other hosts are told that it has said that it is leaving.
     departure_told_until: Millis,
     /// Whether it has said so to this host.
@@ -467,6 +469,7 @@
             server.idle.clear();
             server.health = Health::default();
             server.limit = Limit::default();
+            server.paused_until = Millis(0);
         }
     }
 }
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -1,4 +1,5 @@
-//! Limits that servers name on the requests a second that they take from all hosts together.
+//! Limits that servers name on the requests a second that they take from all hosts together, and pauses for which they
+//! want none from this one.
 
 use balance::turns::Turns;
 use base::hash::short_hash;
@@ -13,6 +14,9 @@
 /// How long a change of a limit is included in messages to other hosts.
 const NEWS_TTL: Millis = Millis(3_000);
 
+/// How much longer than asked for a server is paused at most, in percent.
+const MAX_SPREAD_PERCENT: u64 = 10;
+
 /// Maximum number of limits in a message, so that it fits a datagram.
 const MAX_NEWS: usize = 48;
 
@@ -88,7 +92,17 @@
         true
     }
 
-    /// Takes turns at a server; returns `false` if it is limited and none is due.
+    /// Records that a server wants no requests from this host for a while.
+    pub fn pause(&self, id: &BackendId, now: Millis, pause: Millis) {
+        let mut fleet = self.lock();
+        if let Some(server) = fleet.servers.get_mut(id) {
+            // Spreads the return of the requests of several hosts.
+            let extra = Millis(pause.0 * rand::random_range(0..=MAX_SPREAD_PERCENT) / 100);
+            server.paused_until = server.paused_until.max(now + pause + extra);
+        }
+    }
+
+    /// Takes turns at a server; returns `false` if it is limited and none is due, or it is paused.
     pub fn take_turns(&self, id: &BackendId, now: Millis, count: u64) -> bool {
         self.lock().take_turns(id, now, count)
     }
@@ -100,21 +114,32 @@
         server.is_some_and(|s| s.limit.turns.is_some())
     }
 
-    /// The next turn at any server that may take the request; `None` if no server is held back by its limit.
+    /// The next turn at any server that may take the request; `None` if no server is held back by its limit or a pause.
     pub fn next_turn(&self, now: Millis, request: &PlacementRequest<'_>) -> Option<NextTurn> {
         let fleet = self.lock();
         let hosts = fleet.sharing_hosts();
-        let turns = fleet.usable(now, request.service).filter_map(|id| {
-            let server = fleet.servers.get(id)?;
-            let turns = server.limit.turns?;
-            (!server.health.is_ejected(now)).then_some(turns)
-        });
-        let turns: Vec<Turns> = turns.collect();
-        let check = turns.iter().map(|t| t.due(now, hosts)).min()?;
-        let each_ms: f64 = turns.iter().map(|t| 1.0 / t.period(hosts).0 as f64).sum();
+        let ids = fleet.usable(now, request.service);
+        let servers = ids.filter_map(|id| fleet.servers.get(id));
+        let is_held = |s: &&Server| s.limit.turns.is_some() || now < s.paused_until;
+        let held: Vec<&Server> = servers
+            .filter(|s| is_held(s) && !s.health.is_ejected(now))
+            .collect();
+        let due = |s: &&Server| {
+            let turn = s.limit.turns.map_or(now, |t| t.due(now, hosts));
+            turn.max(s.paused_until)
+        };
+        let check = held.iter().map(due).min()?;
+        let periods = held
+            .iter()
+            .filter_map(|s| Some(s.limit.turns?.period(hosts)));
+        let each_ms: f64 = periods.map(|p| 1.0 / p.0 as f64).sum();
         let service = ServiceName::from(request.service);
         let ahead = fleet.waiting.get(&service).copied().unwrap_or(0);
-        let behind = Millis((ahead as f64 / each_ms) as u64);
+        let behind = if each_ms > 0.0 {
+            Millis((ahead as f64 / each_ms) as u64)
+        } else {
+            Millis(0)
+        };
         Some(NextTurn {
             at: check.max(now) + behind,
             check,
@@ -174,17 +199,27 @@
         }
     }
 
-    /// Whether a server's limit leaves room for a request now. A backup gets no place at a limited server.
+    /// Whether a server takes a request now: it is not paused, and its limit leaves room. A backup gets no place at a
+    /// limited server.
     pub(super) fn has_turn(&self, id: &BackendId, now: Millis, is_backup: bool) -> bool {
-        let turns = self.servers.get(id).and_then(|s| s.limit.turns);
-        turns.is_none_or(|t| !is_backup && t.due(now, self.sharing_hosts()) <= now)
+        let Some(server) = self.servers.get(id) else {
+            return true;
+        };
+        let turns = server.limit.turns;
+        now >= server.paused_until
+            && turns.is_none_or(|t| !is_backup && t.due(now, self.sharing_hosts()) <= now)
     }
 
     /// Takes turns at a server; returns `false` if it is limited and none is due.
     pub(super) fn take_turns(&mut self, id: &BackendId, now: Millis, count: u64) -> bool {
         let hosts = self.sharing_hosts();
-        let server = self.servers.get_mut(id);
-        let Some(turns) = server.and_then(|s| s.limit.turns.as_mut()) else {
+        let Some(server) = self.servers.get_mut(id) else {
+            return true;
+        };
+        if now < server.paused_until {
+            return false;
+        }
+        let Some(turns) = &mut server.limit.turns else {
             return true;
         };
         let is_due = turns.due(now, hosts) <= now;
--- a/crates/gooseberry-gateway/src/notices.rs
+++ b/crates/gooseberry-gateway/src/notices.rs
@@ -20,6 +20,10 @@
         );
         ctx.wake_gossip.notify_one();
     }
+    if let Some(pause) = head.pause {
+        tracing::info!(server = %id, pause_ms = pause.0, "server wants no requests for a while");
+        ctx.servers.pause(id, now, pause);
+    }
     if head.is_leaving && ctx.servers.record_departure(id, now) {
         tracing::info!(server = %id, "server says that it is leaving");
         ctx.wake_gossip.notify_one();
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -1,4 +1,4 @@
-//! What servers say of themselves in their answers: that they are leaving.
+//! What servers say of themselves in their answers: that they are leaving, or want no requests for a while.
 
 mod site;
 
@@ -61,3 +61,40 @@
     })
     .await;
 }
+
+/// From half a second after the answer on, two requests are allowed until the time is over.
+#[tokio::test]
+async fn server_turns_host_away() {
+    let site = Site::start().await;
+    for id in ["p-1", "e-1"] {
+        site.shared.set_header(id, "retry-after", Some("30"));
+        site.shared.reject_all(id);
+    }
+    for i in 0..REQUESTS {
+        let call = site.send(request(&format!("call-{i}"), "/once/a")).await;
+        assert_eq!(call.status, StatusCode::OK);
+        let stream = generation(&format!("stream-{i}"), "/draft/a");
+        assert!(site.send(stream).await.is_whole);
+    }
+    for id in ["p-1", "e-1"] {
+        let rejections = site.shared.rejections_at(id);
+        assert!((1..=2).contains(&rejections), "{id}: {rejections}");
+    }
+}
+
+#[tokio::test]
+async fn all_servers_turn_host_away() {
+    let site = Site::start().await;
+    for id in ["p-1", "p-2"] {
+        site.shared.set_header(id, "retry-after", Some("30"));
+        site.shared.reject_all(id);
+    }
+    for i in 0..REQUESTS {
+        let call = site.send(request(&format!("call-{i}"), "/once/a")).await;
+        assert_eq!(call.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry: f64 = call.header("retry-after").parse().unwrap();
+        assert!(retry > 0.0);
+    }
+    let rejections = ["p-1", "p-2"].map(|id| site.shared.rejections_at(id));
+    assert_eq!(rejections, [1, 1]);
+}
