platform, membership, gateway: a store that comes back from an older copy

After it the store gives out revisions again that hosts had seen, so that they would have taken rows for older than what they held, and hosts behind a hub would have been told that there are no changes: leaving servers stayed in use, new configurations were not seen, own rows were lost. Cause: a revision was compared as if the store never went back. Change: a revision begins with the era that the store names (Store-Era). An answer of another era than the revision asked for has the table read again in full; answers of an earlier era are dropped. Rows of the copy do not bring back servers that left or were removed, until their server writes again; hosts and quarantines are written again.

--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -73,6 +73,8 @@
     budgets: Mutex<Sorted<ServiceName, Budget>>,
     /// Bytes of answers that are being read now, beyond the first [`FREE_ANSWER_BYTES`] of each.
     answer_bytes: AtomicUsize,
+    /// The latest era of the store.
+    store_era: AtomicU64,
     /// When the process began to stop, plus 1; 0 before.
     stopping: AtomicU64,
 }
@@ -103,6 +105,7 @@
             initial_budget: budget,
             budgets: Mutex::default(),
             answer_bytes: AtomicUsize::new(0),
+            store_era: AtomicU64::new(0),
             stopping: AtomicU64::new(0),
         }
     }
@@ -201,6 +204,20 @@
         }
     }
 
+    /// Records the era that an answer of the store names; returns `false` if a later one is known.
+    pub fn record_store_era(&self, era: u64) -> bool {
+        let before = self.store_era.fetch_max(era, Ordering::Relaxed);
+        if before < era {
+            tracing::info!(era, before, "the store is in a later era");
+        }
+        before <= era
+    }
+
+    /// The latest era of the store.
+    pub fn store_era(&self) -> u64 {
+        self.store_era.load(Ordering::Relaxed)
+    }
+
     /// Records that the process begins to stop.
     pub fn stop(&self) {
         self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -62,11 +62,16 @@
     // Serialising an address and a name to JSON cannot fail.
     let value = serde_json::to_vec(&entry).unwrap_or_default();
     let mut is_written = false;
+    let mut era = ctx.store_era();
     loop {
+        // A copy that the store has come back from may lack the row.
+        is_written &= std::mem::replace(&mut era, ctx.store_era()) == ctx.store_era();
         let result = refresh(&ctx, &mut store, &own.host, &value, is_written).await;
         match result {
             Ok(()) => {
-                is_written = true;
+                if !std::mem::replace(&mut is_written, true) {
+                    era = ctx.store_era();
+                }
                 until_due(&ctx).await;
             }
             Err(error) => {
@@ -79,7 +84,7 @@
 
 /// Waits until the list is to be read again.
 async fn until_due(ctx: &Context) {
-    let read = ctx.now();
+    let (read, era) = (ctx.now(), ctx.store_era());
     loop {
         ctx.timer.after(CHECK_INTERVAL).await;
         let now = ctx.now();
@@ -89,7 +94,8 @@
         } else {
             MEMBER_PERIOD
         };
-        if gossip.is_list_short(now) || now.since(read) >= period {
+        let is_restored = ctx.store_era() != era;
+        if is_restored || gossip.is_list_short(now) || now.since(read) >= period {
             return;
         }
     }
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -121,6 +121,7 @@
 /// found or lifted by this host, until the task is aborted.
 pub async fn synchronise(ctx: Arc<Context>, mut store: Store) {
     let mut is_read = false;
+    let mut era = ctx.store_era();
     let mut writes: Vec<(String, Option<Vec<u8>>)> = Vec::new();
     loop {
         let now = ctx.now();
@@ -130,6 +131,11 @@
                 Err(error) => tracing::info!(%error, "cannot read the quarantines; will retry"),
             }
         }
+        let latest = ctx.store_era();
+        if std::mem::replace(&mut era, latest) != latest && ctx.gossip().is_hub() {
+            // A copy that the store has come back from may lack them.
+            ctx.quarantine().rewrite();
+        }
         collect_writes(&ctx, &mut writes);
         while let Some((key, value)) = writes.first() {
             let written = store
--- a/crates/gooseberry-gateway/src/store.rs
+++ b/crates/gooseberry-gateway/src/store.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::link::Link;
+use crate::link::{self, Link};
 
 /// Maximum size of a response; the store returns pages of at most 1 MB of rows, in base64.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -46,6 +46,7 @@
             Self::Broken => "broken",
             Self::TimedOut => "silent",
             Self::Store(StoreError::Compacted) => "compacted",
+            Self::Store(StoreError::Restored) => "restored",
             Self::Store(StoreError::Refused(_)) => "refused",
             Self::Store(StoreError::Malformed(_)) => "malformed",
         }
@@ -75,8 +76,13 @@
     ///
     /// Any [`CallError`].
     pub async fn rows(&mut self, path: &str, limit: Millis) -> Result<Rows, CallError> {
-        let (status, body) = self.call(Method::GET, path, Bytes::new(), limit).await?;
-        let rows = store::decode(status, &body).map_err(CallError::from);
+        let (status, era, body) = self.call(Method::GET, path, Bytes::new(), limit).await?;
+        let rows = if self.ctx.record_store_era(era) {
+            store::decode(status, era, &body).map_err(CallError::from)
+        } else {
+            // An answer from before the store came back.
+            Err(StoreError::Restored.into())
+        };
         self.count_outcome(&rows);
         rows
     }
@@ -94,9 +100,10 @@
         limit: Millis,
     ) -> Result<(), CallError> {
         let body = Bytes::from(store::write_body(table, key, value));
-        let (status, _) = self
+        let (status, era, _) = self
             .call(Method::POST, store::WRITE_PATH, body, limit)
             .await?;
+        self.ctx.record_store_era(era);
         let written = store::decode_write(status).map_err(CallError::from);
         self.count_outcome(&written);
         written
@@ -108,7 +115,7 @@
         path: &str,
         body: Bytes,
         limit: Millis,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(StatusCode, u64, Bytes), CallError> {
         let exchange = self.exchange(method, path, body);
         let result = match tokio::time::timeout(limit.duration(), exchange).await {
             Ok(result) => result,
@@ -126,7 +133,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(StatusCode, u64, Bytes), CallError> {
         let addr = *self.addr.borrow_and_update();
         let mut link = match self.link.take().filter(|l| !l.is_closed()) {
             Some(link) => link,
@@ -142,12 +149,12 @@
         if let Ok(host) = addr.to_string().parse() {
             headers.insert(HOST, host);
         }
-        let response = link
-            .fetch(request, MAX_RESPONSE_BYTES)
-            .await
-            .map_err(|_| CallError::Broken)?;
+        let response = link.send(request).await.map_err(|_| CallError::Broken)?;
+        let (status, era) = (response.status(), store::answer_era(response.headers()));
+        let body = link::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|_| CallError::Broken)?;
         self.link = Some(link);
-        Ok(response)
+        Ok((status, era, body))
     }
 
     fn count_outcome<T>(&self, result: &Result<T, CallError>) {
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -76,6 +76,8 @@
     sources: Sources,
     /// Whether the last changes came from another host.
     is_from_hub: bool,
+    /// The era of the store in which the table was last read in full.
+    era: Option<u64>,
 }
 
 /// Keeps the host's state of a table synchronised until the task is aborted.
@@ -89,6 +91,7 @@
         links: Vec::new(),
         sources: Sources::default(),
         is_from_hub: false,
+        era: None,
     };
     let mut backoff = Backoff::default();
     loop {
@@ -99,6 +102,10 @@
                 watch.log_change("compacted");
                 watch.revision = None;
             }
+            Err(CallError::Store(StoreError::Restored)) => {
+                watch.log_change("restored");
+                watch.revision = None;
+            }
             Err(error) => {
                 watch.call_failed(&error);
                 let took = watch.ctx.now().since(started);
@@ -158,6 +165,10 @@
         };
         let path = store::watch_path(self.table, revision, hold);
         let rows = self.store.rows(&path, hold + STORE_TIMEOUT).await?;
+        if store::era(rows.revision) != store::era(revision) {
+            // The store gives out numbers again, so the changes after this one are not all that the host lacks.
+            return Err(StoreError::Restored.into());
+        }
         self.call_succeeded();
         self.set_source(false);
         self.apply_changes(&rows, revision);
@@ -249,6 +260,9 @@
             // Keeps the revision of the first page: the polls after it return the changes made while
             // further pages were read.
             let revision = *first.get_or_insert(rows.revision);
+            if store::era(rows.revision) != store::era(revision) {
+                return Err(StoreError::Restored.into());
+            }
             let is_last = !rows.is_partial || rows.rows.is_empty();
             all.extend(rows.rows);
             if is_last {
@@ -262,8 +276,17 @@
     }
 
     /// Applies a full read of the table. Servers that it does not contain are treated as removed.
-    fn apply_snapshot(&self, rows: &[Row], revision: u64) {
+    fn apply_snapshot(&mut self, rows: &[Row], revision: u64) {
         let now = self.ctx.now();
+        let era = store::era(revision);
+        let is_restored = self.era.replace(era).is_some_and(|before| before < era);
+        if is_restored && self.table == Table::Servers {
+            self.ctx
+                .servers
+                .lock()
+                .roster
+                .registry_restored(revision, now);
+        }
         for row in rows {
             self.apply_row(row, now);
         }
--- a/crates/gooseberry-standin/src/site/store.rs
+++ b/crates/gooseberry-standin/src/site/store.rs
@@ -83,6 +83,15 @@
     revision: u64,
     /// The feed answers 410 to readers that are behind this revision.
     compacted: u64,
+    /// Rises by one when the store comes back from a copy.
+    era: u64,
+}
+
+/// A copy of a store's rows.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    rows: Vec<Row>,
+    revision: u64,
 }
 
 /// The state of a store.
@@ -115,6 +124,25 @@
         row.and_then(|r| r.value.clone())
     }
 
+    /// Copies the rows.
+    pub fn copy(&self) -> Copy {
+        let rows = self.lock();
+        Copy {
+            rows: rows.rows.clone(),
+            revision: rows.revision,
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut rows = self.lock();
+        rows.rows.clone_from(&copy.rows);
+        rows.revision = copy.revision;
+        rows.era += 1;
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
     /// The keys of a table's rows.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.lock();
@@ -176,12 +204,15 @@
     if store.faults.state().outage {
         return response(StatusCode::SERVICE_UNAVAILABLE, &[], "");
     }
-    match (request.method(), path.as_str()) {
+    let mut response = match (request.method(), path.as_str()) {
         (&Method::GET, "/rows-get") => read(&store, port_shift, &request),
         (&Method::GET, "/rows-feed") => feed(&store, port_shift, &request).await,
         (&Method::POST, "/rows-tx") => transact(&store, request).await,
         _ => response(StatusCode::NOT_FOUND, &[], ""),
-    }
+    };
+    let era = store.lock().era;
+    response.headers_mut().insert("store-era", era.into());
+    response
 }
 
 async fn put(store: &Store, request: Request<Incoming>) -> Response {
@@ -250,7 +281,7 @@
 /// The changes after revision `since`, or 410 if they were compacted; `None` if there are none.
 fn changes(store: &Store, port_shift: u16, table: &str, since: u64) -> Option<Response> {
     let rows = store.lock();
-    if since < rows.compacted {
+    if since < rows.compacted || since > rows.revision {
         return Some(response(StatusCode::GONE, &[], ""));
     }
     let mut found: Vec<&Row> = rows
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -95,6 +95,10 @@
     members: Sorted<BackendId, Member>,
     /// Start times of the servers that have said that they are leaving, also of those that are not listed.
     departed: Sorted<BackendId, u64>,
+    /// Start times of the servers whose rows were removed.
+    removed: Sorted<BackendId, u64>,
+    /// Rows up to this revision come from an older copy of the registry; 0 if it has not come back from one.
+    copy_revision: u64,
     /// When the registry recovered from its last outage; `None` if there was none.
     available_since: Option<Millis>,
     /// Whether the registry does not answer.
@@ -120,11 +124,28 @@
         was_unavailable
     }
 
+    /// Records that the registry has come back from an older copy, which it held at `revision` at the latest.
+    ///
+    /// What was known before holds until rows are written again: a server that left or was removed is not used
+    /// because the copy lists it, and one that the copy lacks stays for the grace time of an outage.
+    pub fn registry_restored(&mut self, revision: u64, now: Millis) {
+        self.copy_revision = revision;
+        self.available_since = Some(now);
+    }
+
     /// Applies a row unless a newer revision is held.
     pub fn put(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
         let addr = entry.addr;
         let change = self.insert(id.clone(), entry, revision);
         self.update_departing(&id);
+        let removed = self.removed.get(&id).copied();
+        if let (Some(start), Some(member)) = (removed, self.members.get_mut(&id)) {
+            if revision <= self.copy_revision && member.entry.start_time <= start {
+                member.is_departing = true;
+            } else {
+                self.removed.remove(&id);
+            }
+        }
         if change != Change::None {
             self.mark_replaced(addr);
         }
@@ -174,7 +195,8 @@
         }
     }
 
-    fn insert(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
+    fn insert(&mut self, id: BackendId, mut entry: Entry, revision: u64) -> Change {
+        let is_copy = revision <= self.copy_revision;
         let Some(held) = self.members.get_mut(&id) else {
             let change = match entry.state {
                 State::Serving => Change::Added,
@@ -194,6 +216,12 @@
         if revision < held.revision {
             return Change::None;
         }
+        let is_older = entry.start_time < held.entry.start_time;
+        let has_left =
+            held.entry.state == State::Leaving && entry.start_time == held.entry.start_time;
+        if is_copy && (is_older || has_left) {
+            entry = held.entry.clone();
+        }
         let change = if held.entry.start_time != entry.start_time || held.entry.addr != entry.addr {
             Change::Restarted
         } else if held.entry.state == State::Serving && entry.state == State::Leaving {
@@ -264,7 +292,7 @@
                 Change::Missing
             }
             None => {
-                self.members.remove(id);
+                self.drop_member(id);
                 Change::Removed
             }
         }
@@ -292,8 +320,22 @@
 
     /// Drops the servers whose grace time has ended.
     pub fn expire(&mut self, now: Millis) {
-        self.members
-            .retain(|_, m| m.expires.is_none_or(|at| now < at));
+        let is_over = |m: &Member| m.expires.is_some_and(|at| now >= at);
+        let members = self.members.iter().filter(|(_, m)| is_over(m));
+        let ids: Vec<BackendId> = members.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.drop_member(&id);
+        }
+    }
+
+    /// Drops a server and remembers its start, so that an older copy of the registry does not bring it back.
+    fn drop_member(&mut self, id: &BackendId) {
+        if let Some(member) = self.members.remove(id) {
+            self.removed.insert(id.clone(), member.entry.start_time);
+        }
+        if self.removed.len() > MAX_DEPARTED {
+            self.removed = Sorted::default();
+        }
     }
 
     /// The server with that id; `None` if it is not listed.
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -158,3 +158,34 @@
     roster.adopt(&id, &id, 11);
     assert!(usable(&roster, "i-1", 0), "it has started again");
 }
+
+/// The registry comes back from a copy that still lists what has left or is gone, and lacks what is new.
+#[test]
+fn registry_restored_from_a_copy() {
+    let mut roster = Roster::default();
+    let ids = ["left", "gone", "again", "new"].map(BackendId::from);
+    let [left, gone, again, new] = &ids;
+    for (port, id) in (1..).zip(&ids) {
+        roster.put(id.clone(), entry(port, State::Serving, 7), 5);
+    }
+    roster.put(left.clone(), entry(1, State::Leaving, 7), 6);
+    roster.remove(gone, 7, Millis(0));
+    roster.put(again.clone(), entry(3, State::Serving, 9), 8);
+    let copied = 1_000;
+    roster.registry_restored(copied, Millis(10));
+    for (port, id) in [(1, left), (2, gone), (3, again)] {
+        roster.put(id.clone(), entry(port, State::Serving, 7), copied - 1);
+    }
+    let mut listed = [left, gone, again].map(Clone::clone);
+    listed.sort();
+    roster.retain_listed(&listed, copied, Millis(10));
+    assert!(!usable(&roster, "left", 20));
+    assert!(!usable(&roster, "gone", 20));
+    assert!(usable(&roster, "again", 20));
+    assert_eq!(roster.get(again).unwrap().entry.start_time, 9);
+    assert!(usable(&roster, "new", 20), "its row may be written again");
+    roster.put(gone.clone(), entry(2, State::Serving, 7), copied + 1);
+    assert!(usable(&roster, "gone", 20), "it has written its row again");
+    roster.expire(Millis(10) + RECOVERY_GRACE);
+    assert!(roster.get(new).is_none());
+}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -301,6 +301,13 @@
         .collect()
     }
 
+    /// Makes this host write all quarantines to the store again.
+    pub fn rewrite(&mut self) {
+        for fatal in &mut self.fatal {
+            fatal.is_unwritten = true;
+        }
+    }
+
     /// Parts of quarantines that this host is to remove from the store; each is returned once.
     pub fn take_lifted(&mut self) -> Vec<Vec<u64>> {
         std::mem::take(&mut self.lifted)
