relay: go on telling the other hosts of a sound part that is in further answers

Found by reading: a second answer with a part under suspicion took back the message to the other hosts that it is sound, if it came before the message was sent, and so on with each further answer. The others could then quarantine a shared part of bad prompts. The message is now sent for its time. The test sound_part_is_told failed before and passes.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -113,7 +113,7 @@
 }
 
 /// A part that was in a sound answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Sound {
     at: Millis,
     /// Until when it is included in messages.
@@ -181,13 +181,14 @@
     pub fn record_sound(&mut self, now: Millis, parts: &[u64]) -> bool {
         let mut is_news = false;
         for part in parts {
-            is_news |= self.clear(*part, now, true);
-            let sound = Sound {
-                at: now,
-                told_until: if is_news { now + NEWS_TTL } else { Millis(0) },
-                is_own: true,
-            };
-            self.sound.insert(*part, sound);
+            let is_cleared = self.clear(*part, now, true);
+            let sound = self.sound.entry(*part, Sound::default);
+            sound.at = now;
+            sound.is_own = true;
+            if is_cleared {
+                sound.told_until = now + NEWS_TTL;
+            }
+            is_news |= is_cleared;
         }
         self.bound_sound(now);
         is_news
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -244,3 +244,15 @@
     assert!(crash_parts + fatal_parts + evidence.sound.len() <= 72);
     assert!(quarantine.fatal().len() <= 64);
 }
+
+/// A part that is in many sound answers is told to the others all the same.
+#[test]
+fn sound_part_is_told() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, 1, &[SHARED, FATAL]);
+    quarantine.record_sound(Millis(2_000), &[SHARED]);
+    quarantine.record_sound(Millis(2_010), &[SHARED]);
+    let evidence = quarantine.evidence(Millis(2_050), false).unwrap();
+    let told: Vec<u64> = evidence.sound.iter().map(|s| s.part).collect();
+    assert_eq!(told, [SHARED]);
+}
