--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -65,11 +65,14 @@
     let mut era = ctx.store_era();
     loop {
         // A copy that the store has come back from may lack the row.
-        is_written &= std::mem::replace(&mut era, ctx.store_era()) == ctx.store_era();
+        let latest = ctx.store_era();
+        is_written &= era == latest;
+        era = latest;
         let result = refresh(&ctx, &mut store, &own.host, &value, is_written).await;
         match result {
             Ok(()) => {
-                if !std::mem::replace(&mut is_written, true) {
+                if !is_written {
+                    is_written = true;
                     era = ctx.store_era();
                 }
                 until_due(&ctx).await;
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -132,10 +132,11 @@
             }
         }
         let latest = ctx.store_era();
-        if std::mem::replace(&mut era, latest) != latest && ctx.gossip().is_hub() {
+        if era != latest && ctx.gossip().is_hub() {
             // A copy that the store has come back from may lack them.
             ctx.quarantine().rewrite();
         }
+        era = latest;
         collect_writes(&ctx, &mut writes);
         while let Some((key, value)) = writes.first() {
             let written = store
