gateway: one reader of whole tables, and one of whole responses

Three places read a table page by page (the synchronised tables, the list of hosts, the quarantines), and only one of them noticed a change of the store's era between two pages. Store::table reads for all three, and reports it for all. Link::fetch returned no head, so that the store's client and the polls sent and read by themselves beside it; it now returns the head and serves them. SendError had a case for bodies that are too large, which no send can have; it is gone.

--- a/crates/gooseberry-gateway/src/backups.rs
+++ b/crates/gooseberry-gateway/src/backups.rs
@@ -304,11 +304,11 @@
         let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
         let answer = link.fetch(request, MAX_RESPONSE_BYTES).await;
-        let (status, body) = answer.map_err(|_| CallError::Unreachable)?;
+        let (parts, body) = answer.ok_or(CallError::Unreachable)?;
         self.ctx
             .servers
             .keep_idle(&self.source, link, self.ctx.now(), None);
-        Ok(kv_copy::decode(status, &body)?)
+        Ok(kv_copy::decode(parts.status, &body)?)
     }
 }
 
--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -7,7 +7,7 @@
 
 use base::prelude::*;
 use membership::gossip::ListedPeer;
-use platform::store::{self, Row, Table};
+use platform::store::{Row, Table};
 use serde::{Deserialize, Serialize};
 
 use crate::context::Context;
@@ -116,7 +116,7 @@
         .await
 }
 
-/// Writes this host's row unless it is written, then reads all pages of the list.
+/// Writes this host's row unless it is written, then reads the list.
 async fn refresh(
     ctx: &Context,
     store: &mut Store,
@@ -128,23 +128,17 @@
         let key = host.as_str();
         store.write(Table::Hosts, key, Some(value), TIMEOUT).await?;
     }
-    let mut after: Option<String> = None;
-    let mut hosts: Vec<ListedPeer> = Vec::new();
-    loop {
-        let path = store::read_path(Table::Hosts, after.as_deref());
-        let rows = store.rows(&path, TIMEOUT).await?;
-        for row in &rows.rows {
-            match parse_row(row) {
-                Ok(host) => hosts.push(host),
-                Err(error) => tracing::warn!(host = %row.key, %error, "malformed host row skipped"),
-            }
-        }
-        after = rows.rows.last().map(|r| r.key.clone());
-        if !rows.is_partial || after.is_none() {
-            ctx.gossip().set_hosts(hosts);
-            return Ok(());
-        }
-    }
+    let rows = store.table(Table::Hosts, TIMEOUT).await?.rows;
+    let hosts = rows.iter().filter_map(|row| {
+        parse_row(row)
+            .inspect_err(
+                |error| tracing::warn!(host = %row.key, %error, "malformed host row skipped"),
+            )
+            .ok()
+    });
+    let hosts: Vec<ListedPeer> = hosts.collect();
+    ctx.gossip().set_hosts(hosts);
+    Ok(())
 }
 
 fn parse_row(row: &Row) -> Result<ListedPeer, serde_json::Error> {
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::response::Parts;
 use hyper::rt::{Read, Write};
 use hyper::upgrade::Upgraded;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -32,8 +33,6 @@
     Unsent,
     /// The connection broke; the request may have run.
     Broken(hyper::Error),
-    /// The body is larger than the limit; the request may have run.
-    TooLarge,
 }
 
 /// A connection; dropping it closes it at once.
@@ -121,19 +120,15 @@
         }
     }
 
-    /// Sends a request and reads the complete response, whose body has at most `max_bytes`.
-    ///
-    /// # Errors
-    ///
-    /// A [`SendError`]; a truncated response is `Broken`.
+    /// Sends a request and reads the complete response; `None` if the connection breaks, or the body is truncated or
+    /// has more than `max_bytes`.
     pub async fn fetch(
         &mut self,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), SendError> {
-        let response = self.send(request).await?;
-        let status = response.status();
-        Ok((status, read_body(response.into_body(), max_bytes).await?))
+    ) -> Option<(Parts, Bytes)> {
+        let (parts, body) = self.send(request).await.ok()?.into_parts();
+        Some((parts, read_body(body, max_bytes).await?))
     }
 
     /// Whether the peer has closed the connection.
@@ -148,19 +143,10 @@
     }
 }
 
-/// Reads a complete body of at most `max_bytes`.
-///
-/// # Errors
-///
-/// A [`SendError`] other than `Unsent`.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, SendError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) => Err(match error.downcast::<hyper::Error>() {
-            Ok(error) => SendError::Broken(*error),
-            Err(_) => SendError::TooLarge,
-        }),
-    }
+/// Reads a complete body; `None` if it is truncated or has more than `max_bytes`.
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Option<Bytes> {
+    let body = Limited::new(body, max_bytes).collect().await;
+    Some(body.ok()?.to_bytes())
 }
 
 /// Sets the socket options that detect an unresponsive peer, and disables Nagle's algorithm.
--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -8,14 +8,14 @@
 use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::http::response::Parts;
-use hyper::{Request, StatusCode, Uri};
+use hyper::{Request, Uri};
 use platform::kv_list;
 use platform::report::{self, Report};
 use platform::response;
 
 use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
-use crate::link::{Link, read_body};
+use crate::link::Link;
 use crate::paths::NoServer;
 use crate::send::Job;
 use crate::{liveness, notices, paths, send};
@@ -155,7 +155,7 @@
             return None;
         }
     };
-    let (parts, body) = get_parts(&mut link, report::PATH).await?;
+    let (parts, body) = get(&mut link, report::PATH).await?;
     notices::record(ctx, id, None, &response::decode(&parts, ""));
     let report = report::decode(parts.status, &body)?;
     let started = ctx.servers.start_time(id);
@@ -191,8 +191,7 @@
     };
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path;
-    let (parts, body) = link.send(request).await.ok()?.into_parts();
-    read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
+    let (parts, _) = link.fetch(request, MAX_RESPONSE_BYTES).await?;
     let server = response::server(&parts.headers)?;
     liveness::record_restart(ctx, id, &server, report.start_time);
     ctx.servers.addr(&server).map(|_| server)
@@ -201,27 +200,19 @@
 /// Fetches how many tokens of the prompt part `content_hash` a server has cached, 0 if it keeps no list;
 /// `None` if the connection fails.
 async fn fetch_cached(link: &mut Link, content_hash: u64) -> Option<u64> {
-    let (status, body) = get(link, kv_list::PATH).await?;
-    Some(kv_list::decode(status, &body, content_hash).unwrap_or(0))
+    let (parts, body) = get(link, kv_list::PATH).await?;
+    Some(kv_list::decode(parts.status, &body, content_hash).unwrap_or(0))
 }
 
 /// Fetches a server's load report; `None` if the connection fails or the server is not an engine.
 pub async fn fetch_report(link: &mut Link) -> Option<Report> {
-    let (status, body) = get(link, report::PATH).await?;
-    report::decode(status, &body)
+    let (parts, body) = get(link, report::PATH).await?;
+    report::decode(parts.status, &body)
 }
 
-/// Sends a GET request and reads the complete response, of which it returns the head as well; `None` if the connection
-/// fails.
-async fn get_parts(link: &mut Link, path: &'static str) -> Option<(Parts, Bytes)> {
+/// Sends a GET request and reads the complete response; `None` if the connection fails.
+async fn get(link: &mut Link, path: &'static str) -> Option<(Parts, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
-    let (parts, body) = link.send(request).await.ok()?.into_parts();
-    Some((parts, read_body(body, MAX_RESPONSE_BYTES).await.ok()?))
-}
-
-/// Sends a GET request and reads the complete response; `None` if the connection fails.
-async fn get(link: &mut Link, path: &'static str) -> Option<(StatusCode, Bytes)> {
-    let (parts, body) = get_parts(link, path).await?;
-    Some((parts.status, body))
+    link.fetch(request, MAX_RESPONSE_BYTES).await
 }
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -9,7 +9,7 @@
 use base::hash::{short_hash, stable};
 use base::prelude::*;
 use hyper::Response;
-use platform::store::{self, Table};
+use platform::store::Table;
 use relay::quarantine::{Admission, Fatal};
 use serde::{Deserialize, Serialize};
 
@@ -175,21 +175,13 @@
 }
 
 async fn read(ctx: &Context, store: &mut Store) -> Result<(), CallError> {
-    let mut after: Option<String> = None;
-    loop {
-        let path = store::read_path(Table::Quarantine, after.as_deref());
-        let rows = store.rows(&path, TIMEOUT).await?;
-        for row in &rows.rows {
-            match decode(ctx.now(), row.value.as_deref().unwrap_or_default()) {
-                Some((parts, at, hold)) => ctx.quarantine().restore(parts, at, hold),
-                None => tracing::warn!(key = %row.key, "malformed quarantine row skipped"),
-            }
-        }
-        after = rows.rows.last().map(|r| r.key.clone());
-        if !rows.is_partial || after.is_none() {
-            return Ok(());
+    for row in store.table(Table::Quarantine, TIMEOUT).await?.rows {
+        match decode(ctx.now(), row.value.as_deref().unwrap_or_default()) {
+            Some((parts, at, hold)) => ctx.quarantine().restore(parts, at, hold),
+            None => tracing::warn!(key = %row.key, "malformed quarantine row skipped"),
         }
     }
+    Ok(())
 }
 
 /// The key of the row for these parts, which also names the matter that one host tries again.
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -206,7 +206,7 @@
     let response = match link.send(request).await {
         Ok(response) => response,
         Err(SendError::Unsent) => return Err(Outcome::Unsent),
-        Err(SendError::Broken(_) | SendError::TooLarge) => {
+        Err(SendError::Broken(_)) => {
             ctx.record_broken(&link);
             liveness::handle_failure(ctx, &lease.id);
             return Err(Outcome::Broken);
@@ -220,7 +220,7 @@
     }
     if let Some(new) = &head.answered_by {
         // The body must be read to its end before the connection can carry another request.
-        if link::read_body(body, MAX_REJECTION_BYTES).await.is_ok() {
+        if link::read_body(body, MAX_REJECTION_BYTES).await.is_some() {
             liveness::adopt(ctx, &lease.id, new, &mut link).await;
         }
         return Err(Outcome::Moved);
--- a/crates/gooseberry-gateway/src/store.rs
+++ b/crates/gooseberry-gateway/src/store.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::link::{self, Link};
+use crate::link::Link;
 
 /// Maximum size of a response; the store returns pages of at most 1 MB of rows, in base64.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -87,6 +87,28 @@
         rows
     }
 
+    /// Reads a table in full, each page within `limit`; the revision is that of the first page, so that the changes
+    /// after it include those made while further pages were read.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`]; [`StoreError::Restored`] also if the pages are of two eras.
+    pub async fn table(&mut self, table: Table, limit: Millis) -> Result<Rows, CallError> {
+        let mut all = self.rows(&store::read_path(table, None), limit).await?;
+        while all.is_partial
+            && let Some(last) = all.rows.last()
+        {
+            let path = store::read_path(table, Some(&last.key));
+            let page = self.rows(&path, limit).await?;
+            if store::era(page.revision) != store::era(all.revision) {
+                return Err(StoreError::Restored.into());
+            }
+            all.is_partial = page.is_partial && !page.rows.is_empty();
+            all.rows.extend(page.rows);
+        }
+        Ok(all)
+    }
+
     /// Writes a row, or removes it.
     ///
     /// # Errors
@@ -149,12 +171,10 @@
         if let Ok(host) = addr.to_string().parse() {
             headers.insert(HOST, host);
         }
-        let response = link.send(request).await.map_err(|_| CallError::Broken)?;
-        let (status, era) = (response.status(), store::answer_era(response.headers()));
-        let body = link::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|_| CallError::Broken)?;
+        let response = link.fetch(request, MAX_RESPONSE_BYTES).await;
+        let (parts, body) = response.ok_or(CallError::Broken)?;
         self.link = Some(link);
-        Ok((status, era, body))
+        Ok((parts.status, store::answer_era(&parts.headers), body))
     }
 
     fn count_outcome<T>(&self, result: &Result<T, CallError>) {
--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -251,28 +251,12 @@
     }
 
     async fn read_table(&mut self) -> Result<(), CallError> {
-        let mut all: Vec<Row> = Vec::new();
-        let mut first = None;
-        loop {
-            let after = all.last().map(|r| r.key.clone());
-            let path = store::read_path(self.table, after.as_deref());
-            let rows = self.store.rows(&path, STORE_TIMEOUT).await?;
-            // Keeps the revision of the first page: the polls after it return the changes made while
-            // further pages were read.
-            let revision = *first.get_or_insert(rows.revision);
-            if store::era(rows.revision) != store::era(revision) {
-                return Err(StoreError::Restored.into());
-            }
-            let is_last = !rows.is_partial || rows.rows.is_empty();
-            all.extend(rows.rows);
-            if is_last {
-                self.call_succeeded();
-                self.apply_snapshot(&all, revision);
-                self.ctx.feeds.update(self.table, |f| f.reset(revision));
-                self.revision = Some(revision);
-                return Ok(());
-            }
-        }
+        let all = self.store.table(self.table, STORE_TIMEOUT).await?;
+        self.call_succeeded();
+        self.apply_snapshot(&all.rows, all.revision);
+        self.ctx.feeds.update(self.table, |f| f.reset(all.revision));
+        self.revision = Some(all.revision);
+        Ok(())
     }
 
     /// Applies a full read of the table. Servers that it does not contain are treated as removed.
