balance, gateway: placement itself passes over servers without a turn

The fleet filtered servers that are limited or paused before placement saw them, with a second lookup for each server of the service and a second copy of the filter for usable ones. A candidate now says that it is held, like ejected ones, and balance::place decides; the fleet looks each server up once. Behaviour is the same.

--- a/crates/balance/src/place.rs
+++ b/crates/balance/src/place.rs
@@ -31,6 +31,8 @@
     pub data_centre: &'a str,
     /// Whether it is ejected for its failures.
     pub is_ejected: bool,
+    /// Whether its limit or a pause leaves no room for the request now.
+    pub is_held: bool,
     /// Whether another host reports it as failed while this host has not observed a failure itself.
     pub is_suspected: bool,
     /// Load from this host's requests.
@@ -39,6 +41,13 @@
     pub capacity: u64,
 }
 
+impl Candidate<'_> {
+    /// Whether it may be chosen at all.
+    fn is_open(&self) -> bool {
+        !self.is_ejected && !self.is_held
+    }
+}
+
 /// Request to be placed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlaceRequest<'a> {
@@ -81,7 +90,7 @@
 ) -> Vec<usize> {
     let key = format!("{:x}", request.prompt_hash.unwrap_or(request.seed));
     let mut eligible: Vec<usize> = (0..candidates.len())
-        .filter(|i| !candidates[*i].is_ejected)
+        .filter(|i| candidates[*i].is_open())
         .collect();
     eligible.sort_by_cached_key(|i| {
         let c = &candidates[*i];
@@ -154,10 +163,10 @@
     (0..reports.len()).min_by_key(order)
 }
 
-/// Index of the chosen server; `None` if all are ejected.
+/// Index of the chosen server; `None` if all are ejected or held.
 pub fn place(candidates: &[Candidate<'_>], request: &PlaceRequest<'_>) -> Option<usize> {
     (0..candidates.len())
-        .filter(|i| !candidates[*i].is_ejected)
+        .filter(|i| candidates[*i].is_open())
         .min_by_key(|i| rank(candidates, request, *i))
 }
 
--- a/crates/balance/tests/prompt_placement.rs
+++ b/crates/balance/tests/prompt_placement.rs
@@ -278,3 +278,16 @@
     };
     assert_eq!(best_report(&[Some(idle), Some(full)], &NEED), Some(0));
 }
+
+/// A server without room by its own word is not chosen, not even as the last one.
+#[test]
+fn held_servers() {
+    let held = Candidate {
+        is_held: true,
+        ..candidate("held")
+    };
+    let request = PlaceRequest::default();
+    assert_eq!(place(&[held, candidate("open")], &request), Some(1));
+    assert_eq!(shortlist(&[held, candidate("open")], &request, 2), [1]);
+    assert_eq!(place(&[held], &request), None);
+}
--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -372,16 +372,10 @@
         request: &PlacementRequest<'_>,
         pick: impl Fn(&[Candidate<'_>], &PlaceRequest<'_>) -> Vec<usize>,
     ) -> Vec<BackendId> {
-        let members: Vec<(&BackendId, &Entry)> = self
-            .roster
-            .iter()
-            .filter(|(_, m)| m.entry.service.as_str() == request.service && m.is_usable(now))
-            .filter(|(id, _)| self.has_turn(id, now, request.is_backup()))
-            .map(|(id, m)| (id, &m.entry))
-            .collect();
+        let members: Vec<(&BackendId, &Entry)> = self.usable(now, request.service).collect();
         let candidates: Vec<Candidate<'_>> = members
             .iter()
-            .map(|(id, entry)| self.candidate(now, id, entry, request.capacity))
+            .map(|(id, entry)| self.candidate(now, id, entry, request))
             .collect();
         let avoid: Vec<&str> = request.avoid.iter().map(BackendId::as_str).collect();
         let criteria = PlaceRequest {
@@ -396,12 +390,12 @@
         chosen.into_iter().map(|i| members[i].0.clone()).collect()
     }
 
-    /// Ids of the servers of a service that accept new requests.
-    fn usable(&self, now: Millis, service: &str) -> impl Iterator<Item = &BackendId> {
+    /// The servers of a service that accept new requests.
+    fn usable(&self, now: Millis, service: &str) -> impl Iterator<Item = (&BackendId, &Entry)> {
         let members = self.roster.iter();
         let usable =
             members.filter(move |(_, m)| m.entry.service.as_str() == service && m.is_usable(now));
-        usable.map(|(id, _)| id)
+        usable.map(|(id, m)| (id, &m.entry))
     }
 
     fn counts(&self, now: Millis, service: &str) -> ServiceCounts {
@@ -410,7 +404,8 @@
         for (id, member) in members.filter(|(_, m)| m.entry.service.as_str() == service) {
             counts.listed += 1;
             if member.is_usable(now) {
-                let candidate = self.candidate(now, id, &member.entry, 0);
+                let request = PlacementRequest::default();
+                let candidate = self.candidate(now, id, &member.entry, &request);
                 counts.usable += 1;
                 counts.ejected += usize::from(candidate.is_ejected);
                 counts.suspected += usize::from(candidate.is_suspected);
@@ -424,16 +419,17 @@
         now: Millis,
         id: &'a BackendId,
         entry: &'a Entry,
-        capacity: u64,
+        request: &PlacementRequest<'_>,
     ) -> Candidate<'a> {
         let server = self.servers.get(id);
         Candidate {
             server: id.as_str(),
             data_centre: entry.centre.as_str(),
             is_ejected: server.is_some_and(|s| s.health.is_ejected(now)),
+            is_held: server.is_some_and(|s| !self.has_turn(s, now, request.is_backup())),
             is_suspected: server.is_some_and(|s| now < s.suspected_until),
             load: server.map_or(Load::default(), |s| s.load),
-            capacity,
+            capacity: request.capacity,
         }
     }
 
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -118,8 +118,8 @@
     pub fn next_turn(&self, now: Millis, request: &PlacementRequest<'_>) -> Option<NextTurn> {
         let fleet = self.lock();
         let hosts = fleet.sharing_hosts();
-        let ids = fleet.usable(now, request.service);
-        let servers = ids.filter_map(|id| fleet.servers.get(id));
+        let members = fleet.usable(now, request.service);
+        let servers = members.filter_map(|(id, _)| fleet.servers.get(id));
         let is_held = |s: &&Server| s.limit.turns.is_some() || now < s.paused_until;
         let held: Vec<&Server> = servers
             .filter(|s| is_held(s) && !s.health.is_ejected(now))
@@ -201,10 +201,7 @@
 
     /// Whether a server takes a request now: it is not paused, and its limit leaves room. A backup gets no place at a
     /// limited server.
-    pub(super) fn has_turn(&self, id: &BackendId, now: Millis, is_backup: bool) -> bool {
-        let Some(server) = self.servers.get(id) else {
-            return true;
-        };
+    pub(super) fn has_turn(&self, server: &Server, now: Millis, is_backup: bool) -> bool {
         let turns = server.limit.turns;
         now >= server.paused_until
             && turns.is_none_or(|t| !is_backup && t.due(now, self.sharing_hosts()) <= now)
