platform, gateway: decode what a server says of itself once, and only that for polls

Each poll of an engine decoded the whole head of its response, with an empty request id, for three fields of it. They are a Notice now, which the decoded head of an answer contains and a poll decodes alone. The tests of heads, limits and notices pass; their expectations are the same.

--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -156,7 +156,7 @@
         }
     };
     let (parts, body) = get(&mut link, report::PATH).await?;
-    notices::record(ctx, id, None, &response::decode(&parts, ""));
+    notices::record(ctx, id, None, &response::notice(&parts));
     let report = report::decode(parts.status, &body)?;
     let started = ctx.servers.start_time(id);
     let server = if started.is_some_and(|at| at < report.start_time) {
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -225,7 +225,7 @@
         }
         return Err(Outcome::Moved);
     }
-    notices::record(ctx, &lease.id, Some(sent), &head);
+    notices::record(ctx, &lease.id, Some(sent), &head.notice);
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
