gateway: a server that answers no poll may still be chosen, as before the limits

The change for limits also stopped a prompt from going to the first server of the shortlist when none answered its poll, and no message said so. A server is leased again if it was polled or has a turn for the request, which one without a limit always has. The three ways back to placement without polls are one.

--- a/crates/gooseberry-gateway/src/polling.rs
+++ b/crates/gooseberry-gateway/src/polling.rs
@@ -45,11 +45,19 @@
     job: &Job,
     request: &PlacementRequest<'_>,
 ) -> Result<Lease, NoServer> {
+    match place_polled(ctx, request).await {
+        Some(lease) => Ok(lease),
+        None => paths::place_in_turn(ctx, job, request).await,
+    }
+}
+
+/// Leases the best of a few polled servers; `None` if there are too few to choose from, or it may not take the request.
+async fn place_polled(ctx: &Arc<Context>, request: &PlacementRequest<'_>) -> Option<Lease> {
     let mut ids = ctx
         .servers
         .shortlist(ctx.now(), request, POLL_SIZE * MAX_ROUNDS);
     if ids.len() < 2 {
-        return paths::place_in_turn(ctx, job, request).await;
+        return None;
     }
     let need = request.need();
     let prompt = Prompt {
@@ -75,9 +83,7 @@
             break;
         }
     }
-    let Some(chosen) = best_report(&reports, &need) else {
-        return paths::place_in_turn(ctx, job, request).await;
-    };
+    let chosen = best_report(&reports, &need)?;
     let cached = reports[chosen].map_or(0, |r| r.cached);
     if request.is_resumed {
         let cause = if cached > 0 { "cached" } else { "not_cached" };
@@ -88,11 +94,10 @@
         prefill: request.load.prefill.saturating_sub(cached),
         ..request.load
     };
-    let is_polled = reports[chosen].is_some();
-    if is_polled && let Some(lease) = ctx.servers.lease(ctx.now(), &ids[chosen], load) {
-        return Ok(lease);
-    }
-    paths::place_in_turn(ctx, job, request).await
+    let now = ctx.now();
+    // A poll that was answered has taken the turn of the request as well.
+    let has_turn = reports[chosen].is_some() || ctx.servers.take_turns(&ids[chosen], now, 1);
+    has_turn.then(|| ctx.servers.lease(now, &ids[chosen], load))?
 }
 
 /// A prompt to be placed.
