membership: a hub counts the hosts that report to it among those that share a limit

Found by reading: known_hosts promises the number by the list or by the reports if these are more, but for a hub only the list counted, so that a hub with a short list took too large a part of a server's limit until it read the list again. The count of reporting hosts that the check for a short list had by itself now serves both. The test hub_with_a_short_list failed before (21 of 30) and passes.

--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -186,12 +186,22 @@
 
     /// Whether more hosts report their usage than the list has, so that it is to be read again.
     pub fn is_list_short(&self, now: Millis) -> bool {
-        let reporting = if self.is_hub() {
+        self.reporting_hosts(now) > self.listed_hosts()
+    }
+
+    /// The number of hosts that report their usage, this one included.
+    fn reporting_hosts(&self, now: Millis) -> u64 {
+        let hosts = if self.is_hub() {
             self.sums_without(&self.host).hosts.saturating_add(1)
         } else {
             self.fresh_answer(now).map_or(1, |a| a.hosts)
         };
-        reporting as usize > self.listed.len() + 1
+        u64::from(hosts)
+    }
+
+    /// The number of hosts in the list, this one included.
+    fn listed_hosts(&self) -> u64 {
+        self.listed.len() as u64 + 1
     }
 
     /// Whether the list of hosts has been read.
@@ -332,9 +342,8 @@
     /// The number of hosts, this one included, by the list or by their reports if these are more; `None` until the
     /// list has been read.
     pub fn known_hosts(&self, now: Millis) -> Option<u64> {
-        let listed = self.listed.len() as u64 + 1;
-        let heard = self.fresh_answer(now).map_or(1, |a| u64::from(a.hosts));
-        self.is_listed.then_some(listed.max(heard))
+        let hosts = self.reporting_hosts(now).max(self.listed_hosts());
+        self.is_listed.then_some(hosts)
     }
 
     /// Whether this host passes on what it hears: it is a hub, or others use it as theirs.
@@ -544,7 +553,7 @@
         if !self.is_listed {
             return None;
         }
-        let known = 1 + self.listed.len() as u64;
+        let known = self.listed_hosts();
         let is_waiting = self
             .own_usage
             .iter()
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -433,3 +433,15 @@
         .expect("the list was read");
     assert_eq!(shared.retries, u64::from(u32::MAX));
 }
+
+/// A host that knows too few of the others would take too large a part of a limit that all share.
+#[test]
+fn hub_with_a_short_list() {
+    let mut net = Net::new(30, 3);
+    let all: Vec<ListedPeer> = net.hosts.iter().map(Host::listed).collect();
+    let hub = net.hub(2);
+    net.hosts[hub].gossip.set_hosts(all[..20].to_vec());
+    net.run(Millis(3_000));
+    assert!(net.hosts[hub].gossip.is_hub());
+    assert_eq!(net.hosts[hub].gossip.known_hosts(net.now), Some(30));
+}
