membership, gateway, relay: one piece for what hosts announce to each other for a while

Limits of servers, leaving servers and sound prompt parts each kept until when they are included in messages and whether this host found them, and asked the same question of both. That is an Announcement now. The three searches of a server by the short hash of its id are one, the round of messages locks the exchange once for what it reads, and leaving servers are called that instead of departures. In the roster, what a server said and what its removed row means are weighed in one place instead of one overriding the other. Behaviour is the same.

--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -1,6 +1,6 @@
 //! State of the backend servers at this host: registry rows, load, health and idle connections.
 
-mod departures;
+mod leaving;
 mod limits;
 mod paths;
 
@@ -12,6 +12,7 @@
 use base::hash::short_hash;
 use base::prelude::*;
 use base::sorted::Sorted;
+use membership::gossip::Announcement;
 use membership::roster::Entry;
 use membership::{Contact, Roster};
 
@@ -56,10 +57,8 @@
     last_check: Option<Millis>,
     /// Until when it wants no requests from this host.
     paused_until: Millis,
-    /// Until when the other hosts are told that it has said that it is leaving.
-    departure_told_until: Millis,
-    /// Whether it has said so to this host.
-    is_own_departure: bool,
+    /// Announces that it has said that it is leaving.
+    leaving: Announcement,
     /// What it last said of the requests that it takes.
     limit: Limit,
     /// Idle connections, each with the time until which it may be used.
@@ -303,12 +302,10 @@
     pub fn suspect(&self, server_hash: u32, at: Millis, now: Millis) {
         let mut guard = self.lock();
         let fleet = &mut *guard;
-        let found = fleet
-            .roster
-            .iter()
-            .find(|(id, _)| short_hash(id.as_str()) == server_hash);
-        let Some((id, _)) = found else { return };
-        let server_state = fleet.servers.entry(id.clone(), Server::default);
+        let Some(id) = fleet.id_of(server_hash) else {
+            return;
+        };
+        let server_state = fleet.servers.entry(id, Server::default);
         if server_state.last_activity < at {
             server_state.suspected_until = now + SUSPICION_TTL;
         }
@@ -390,6 +387,13 @@
         chosen.into_iter().map(|i| members[i].0.clone()).collect()
     }
 
+    /// The listed server whose id has this short hash.
+    fn id_of(&self, server_hash: u32) -> Option<BackendId> {
+        let mut ids = self.roster.iter().map(|(id, _)| id);
+        ids.find(|id| short_hash(id.as_str()) == server_hash)
+            .cloned()
+    }
+
     /// The servers of a service that accept new requests.
     fn usable(&self, now: Millis, service: &str) -> impl Iterator<Item = (&BackendId, &Entry)> {
         let members = self.roster.iter();
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -4,7 +4,7 @@
 use balance::turns::Turns;
 use base::hash::short_hash;
 use base::prelude::*;
-use membership::gossip::ServerLimit;
+use membership::gossip::{Announcement, ServerLimit};
 
 use super::{Fleet, PlacementRequest, Server, Servers};
 
@@ -12,13 +12,13 @@
 const DEFAULT_HOSTS: u64 = 16;
 
 /// How long a change of a limit is included in messages to other hosts.
-const NEWS_TTL: Millis = Millis(3_000);
+const ANNOUNCE_TTL: Millis = Millis(3_000);
 
 /// How much longer than asked for a server is paused at most, in percent.
 const MAX_SPREAD_PERCENT: u64 = 10;
 
 /// Maximum number of limits in a message, so that it fits a datagram.
-const MAX_NEWS: usize = 48;
+const MAX_ANNOUNCED: usize = 48;
 
 /// What a server last said of its limit.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,10 +27,7 @@
     turns: Option<Turns>,
     /// When it last said so, to any host; 0 if it never named a limit.
     said_at: Millis,
-    /// Until when the other hosts are told.
-    told_until: Millis,
-    /// Whether it said so to this host.
-    is_own: bool,
+    announcement: Announcement,
 }
 
 /// How requests for a service get turns at its servers, all of which are limited.
@@ -87,8 +84,7 @@
         if is_stale || !known.apply(now, now, limit, hosts) {
             return false;
         }
-        known.told_until = now + NEWS_TTL;
-        known.is_own = true;
+        known.announcement = Announcement::start(now, ANNOUNCE_TTL, true);
         true
     }
 
@@ -153,35 +149,32 @@
         *count = count.saturating_add_signed(change);
     }
 
-    /// Changes of limits to tell other hosts; a host that passes messages on (`is_hub`) tells what it has heard as well.
-    pub fn limit_news(&self, now: Millis, is_hub: bool) -> Vec<ServerLimit> {
+    /// Changed limits for a message to other hosts, from a host that passes messages on (`is_hub`) or does not.
+    pub fn announced_limits(&self, now: Millis, is_hub: bool) -> Vec<ServerLimit> {
         let fleet = self.lock();
-        let is_told = |s: &Server| now < s.limit.told_until && (s.limit.is_own || is_hub);
-        let news = fleet.servers.iter().filter(|(_, s)| is_told(s));
-        let news = news.map(|(id, s)| ServerLimit {
+        let servers = fleet.servers.iter();
+        let due = servers.filter(|(_, s)| s.limit.announcement.is_due(now, is_hub));
+        let limits = due.map(|(id, s)| ServerLimit {
             server: short_hash(id.as_str()),
             limit: s.limit.turns.map(|t| t.limit()),
             age: u32::try_from(now.since(s.limit.said_at).0).unwrap_or(u32::MAX),
         });
-        news.take(MAX_NEWS).collect()
+        limits.take(MAX_ANNOUNCED).collect()
     }
 
-    /// Applies what other hosts told; returns whether there was news in it.
-    pub fn merge_limits(&self, now: Millis, told: &[ServerLimit]) -> bool {
-        let mut guard = self.lock();
-        let fleet = &mut *guard;
+    /// Applies a message of another host; returns whether there was news in it.
+    pub fn merge_limits(&self, now: Millis, received: &[ServerLimit]) -> bool {
+        let mut fleet = self.lock();
         let hosts = fleet.sharing_hosts();
         let mut is_news = false;
-        for one in told {
+        for one in received {
             let at = now - Millis(u64::from(one.age));
-            let mut ids = fleet.roster.iter().map(|(id, _)| id);
-            let Some(id) = ids.find(|id| short_hash(id.as_str()) == one.server) else {
+            let Some(id) = fleet.id_of(one.server) else {
                 continue;
             };
-            let known = &mut fleet.servers.entry(id.clone(), Server::default).limit;
+            let known = &mut fleet.servers.entry(id, Server::default).limit;
             if known.said_at < at && known.apply(now, at, one.limit, hosts) {
-                known.told_until = now + NEWS_TTL;
-                known.is_own = false;
+                known.announcement = Announcement::start(now, ANNOUNCE_TTL, false);
                 is_news = true;
             }
         }
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -30,27 +30,28 @@
         }
         let now = ctx.now();
         let usage = own_usage(&ctx, now);
-        let relays = ctx.gossip().relays();
-        let evidence = ctx.quarantine().evidence(now, relays);
-        let limits = ctx.servers.limit_news(now, relays);
-        let departures = ctx.servers.departure_news(now, relays);
-        let hosts = ctx.gossip().known_hosts(now);
+        let (relays, hosts) = {
+            let gossip = ctx.gossip();
+            (gossip.relays(), gossip.known_hosts(now))
+        };
         if let Some(hosts) = hosts {
             ctx.servers.set_hosts(hosts);
         }
+        let evidence = ctx.quarantine().evidence(now, relays);
+        let limits = ctx.servers.announced_limits(now, relays);
+        let leaving = ctx.servers.announced_leaving(now, relays);
+        let news = [
+            evidence.map(Body::Prompts),
+            (!limits.is_empty()).then_some(Body::Limits(limits)),
+            (!leaving.is_empty()).then_some(Body::Leaving(leaving)),
+        ];
         let messages = {
             let mut gossip = ctx.gossip();
             let mut messages = gossip.digest(now, usage);
             messages.extend(gossip.centre_sums(now));
             messages.extend(gossip.failed_servers(now));
-            if let Some(evidence) = evidence {
-                messages.extend(gossip.news(now, Body::Prompts(evidence)));
-            }
-            if !limits.is_empty() {
-                messages.extend(gossip.news(now, Body::Limits(limits)));
-            }
-            if !departures.is_empty() {
-                messages.extend(gossip.news(now, Body::Departures(departures)));
+            for body in news.into_iter().flatten() {
+                messages.extend(gossip.news(now, body));
             }
             messages
         };
@@ -163,7 +164,7 @@
         Body::Limits(limits) if ctx.servers.merge_limits(now, limits) => {
             ctx.wake_gossip.notify_one();
         }
-        Body::Departures(departures) if ctx.servers.merge_departures(now, departures) => {
+        Body::Leaving(leaving) if ctx.servers.merge_leaving(now, leaving) => {
             ctx.wake_gossip.notify_one();
         }
         _ => {}
--- a/crates/gooseberry-gateway/src/notices.rs
+++ b/crates/gooseberry-gateway/src/notices.rs
@@ -24,7 +24,7 @@
         tracing::info!(server = %id, pause_ms = pause.0, "server wants no requests for a while");
         ctx.servers.pause(id, now, pause);
     }
-    if notice.is_leaving && ctx.servers.record_departure(id, now) {
+    if notice.is_leaving && ctx.servers.record_leaving(id, now) {
         tracing::info!(server = %id, "server says that it is leaving");
         ctx.wake_gossip.notify_one();
     }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -11,6 +11,7 @@
 //! which send each other their sums. Each message is self-contained, so that lost, late and duplicate
 //! messages do no harm. A host that reaches no hub works with its own share of the budget.
 
+mod announcement;
 mod message;
 mod order;
 
@@ -20,9 +21,10 @@
 use base::prelude::*;
 use base::sorted::{Sorted, distinct};
 
+pub use announcement::Announcement;
 pub use message::{
-    Body, CrashReport, Departure, FailedServer, FatalPrompt, Message, PromptEvidence, ServerLimit,
-    SoundPart, Usage, WINDOWS,
+    Body, CrashReport, FailedServer, FatalPrompt, LeavingServer, Message, PromptEvidence,
+    ServerLimit, SoundPart, Usage, WINDOWS,
 };
 use order::hub_order;
 pub use order::{ListedPeer, hub_priority};
@@ -324,7 +326,7 @@
     }
 
     /// The messages that tell the hub, or as a hub the members and the other hubs, what is in `body`:
-    /// [`Body::Prompts`], [`Body::Limits`] or [`Body::Departures`].
+    /// [`Body::Prompts`], [`Body::Limits`] or [`Body::Leaving`].
     pub fn news(&mut self, now: Millis, body: Body) -> Vec<(SocketAddr, Message)> {
         let mut addrs: Vec<SocketAddr> = self.members.iter().map(|(_, r)| r.addr).collect();
         match self.hub() {
@@ -477,7 +479,7 @@
                 }
             }
             // Applied by `relay::Quarantine` and the gateway's fleet.
-            Body::Prompts(_) | Body::Limits(_) | Body::Departures(_) => {}
+            Body::Prompts(_) | Body::Limits(_) | Body::Leaving(_) => {}
         }
         received.failed.clone_from(&message.failed);
         received
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -85,7 +85,7 @@
 
 /// A server that has said that it is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Departure {
+pub struct LeavingServer {
     /// Hash of the server id.
     pub server: u32,
     /// Unix time of its start, in milliseconds, as far as the sender knows; 0 if it does not.
@@ -138,5 +138,5 @@
     /// As [`Body::Prompts`]: limits of servers that have changed.
     Limits(Vec<ServerLimit>),
     /// As [`Body::Prompts`]: servers that have said that they are leaving.
-    Departures(Vec<Departure>),
+    Leaving(Vec<LeavingServer>),
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -41,7 +41,7 @@
 }
 
 /// Servers that have said that they are leaving and are remembered after their rows are gone.
-const MAX_DEPARTED: usize = 1_024;
+const MAX_GONE: usize = 1_024;
 
 /// A registry row with the state that this host derives for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,8 +57,8 @@
     pub is_replaced: bool,
     /// Whether the server was observed at the address of another one but is not registered yet.
     pub is_adopted: bool,
-    /// Whether the server itself has said that it is leaving.
-    pub is_departing: bool,
+    /// Whether the server itself has said that it is leaving, or its row was removed and is back in an older copy only.
+    pub is_gone: bool,
 }
 
 impl Member {
@@ -66,7 +66,7 @@
     pub fn is_usable(&self, now: Millis) -> bool {
         self.entry.state == State::Serving
             && !self.is_replaced
-            && !self.is_departing
+            && !self.is_gone
             && self.expires.is_none_or(|at| now < at)
     }
 }
@@ -94,7 +94,7 @@
 pub struct Roster {
     members: Sorted<BackendId, Member>,
     /// Start times of the servers that have said that they are leaving, also of those that are not listed.
-    departed: Sorted<BackendId, u64>,
+    leaving: Sorted<BackendId, u64>,
     /// Start times of the servers whose rows were removed.
     removed: Sorted<BackendId, u64>,
     /// Rows up to this revision come from an older copy of the registry; 0 if it has not come back from one.
@@ -137,15 +137,7 @@
     pub fn put(&mut self, id: BackendId, entry: Entry, revision: u64) -> Change {
         let addr = entry.addr;
         let change = self.insert(id.clone(), entry, revision);
-        self.update_departing(&id);
-        let removed = self.removed.get(&id).copied();
-        if let (Some(start), Some(member)) = (removed, self.members.get_mut(&id)) {
-            if revision <= self.copy_revision && member.entry.start_time <= start {
-                member.is_departing = true;
-            } else {
-                self.removed.remove(&id);
-            }
-        }
+        self.update_leaving(&id, revision <= self.copy_revision);
         if change != Change::None {
             self.mark_replaced(addr);
         }
@@ -154,31 +146,36 @@
 
     /// Records that a server has said that it is leaving; returns whether that is news. No row makes it usable again,
     /// only another start.
-    pub fn record_departure(&mut self, id: &BackendId) -> bool {
+    pub fn record_leaving(&mut self, id: &BackendId) -> bool {
         let Some(member) = self.members.get_mut(id) else {
             return false;
         };
-        if member.is_departing {
+        if member.is_gone {
             return false;
         }
-        member.is_departing = true;
-        self.departed.insert(id.clone(), member.entry.start_time);
-        if self.departed.len() > MAX_DEPARTED {
+        member.is_gone = true;
+        self.leaving.insert(id.clone(), member.entry.start_time);
+        if self.leaving.len() > MAX_GONE {
             let members = &self.members;
-            self.departed.retain(|id, _| members.get(id).is_some());
+            self.leaving.retain(|id, _| members.get(id).is_some());
         }
         true
     }
 
-    /// Applies to a listed server what it has said since its start.
-    fn update_departing(&mut self, id: &BackendId) {
+    /// Applies to a listed server what is known of its start; `is_copy` tells whether its row is that of an older copy.
+    fn update_leaving(&mut self, id: &BackendId, is_copy: bool) {
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
-        let departed = self.departed.get(id).copied();
-        member.is_departing = departed.is_some_and(|start| member.entry.start_time <= start);
-        if !member.is_departing && departed.is_some() {
-            self.departed.remove(id);
+        let is_of = |start: Option<&u64>| start.is_some_and(|s| member.entry.start_time <= *s);
+        let says_leaving = is_of(self.leaving.get(id));
+        let was_removed = is_copy && is_of(self.removed.get(id));
+        member.is_gone = says_leaving || was_removed;
+        if !says_leaving {
+            self.leaving.remove(id);
+        }
+        if !was_removed {
+            self.removed.remove(id);
         }
     }
 
@@ -208,7 +205,7 @@
                 expires: None,
                 is_replaced: false,
                 is_adopted: false,
-                is_departing: false,
+                is_gone: false,
             };
             self.members.insert(id, member);
             return change;
@@ -247,7 +244,7 @@
         };
         if old == id {
             held.entry.start_time = start_time;
-            self.update_departing(id);
+            self.update_leaving(id, false);
             return Change::Restarted;
         }
         held.is_replaced = true;
@@ -265,7 +262,7 @@
             expires: None,
             is_replaced: false,
             is_adopted: true,
-            is_departing: false,
+            is_gone: false,
         };
         self.members.insert(id.clone(), member);
         Change::Added
@@ -333,7 +330,7 @@
         if let Some(member) = self.members.remove(id) {
             self.removed.insert(id.clone(), member.entry.start_time);
         }
-        if self.removed.len() > MAX_DEPARTED {
+        if self.removed.len() > MAX_GONE {
             self.removed = Sorted::default();
         }
     }
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -144,8 +144,8 @@
     let mut roster = Roster::default();
     let id = BackendId::from("i-1");
     roster.put(id.clone(), entry(1, State::Serving, 7), 5);
-    assert!(roster.record_departure(&id));
-    assert!(!roster.record_departure(&id), "no news");
+    assert!(roster.record_leaving(&id));
+    assert!(!roster.record_leaving(&id), "no news");
     assert!(!usable(&roster, "i-1", 0));
     roster.put(id.clone(), entry(1, State::Serving, 7), 6);
     assert!(!usable(&roster, "i-1", 0));
@@ -154,7 +154,7 @@
     assert!(!usable(&roster, "i-1", 0));
     roster.put(id.clone(), entry(1, State::Serving, 9), 9);
     assert!(usable(&roster, "i-1", 0), "it has started again");
-    assert!(roster.record_departure(&id));
+    assert!(roster.record_leaving(&id));
     roster.adopt(&id, &id, 11);
     assert!(usable(&roster, "i-1", 0), "it has started again");
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -15,7 +15,7 @@
 
 use base::prelude::*;
 use base::sorted::{Sorted, distinct};
-use membership::gossip::{CrashReport, FatalPrompt, PromptEvidence, SoundPart};
+use membership::gossip::{Announcement, CrashReport, FatalPrompt, PromptEvidence, SoundPart};
 
 /// Number of crashes from which a part is quarantined.
 const LIMIT: usize = 3;
@@ -54,8 +54,8 @@
 /// When to retry a request that waits for the result of another host's trial.
 const TRIAL_RETRY: Millis = Millis(5_000);
 
-/// How long crashes and sound parts are included in messages.
-const NEWS_TTL: Millis = Millis(5_000);
+/// How long crashes and sound parts are included in messages to other hosts.
+const ANNOUNCE_TTL: Millis = Millis(5_000);
 
 /// Interval at which quarantines are included in messages without news.
 const REPEAT_INTERVAL: Millis = Millis(2_000);
@@ -116,9 +116,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Sound {
     at: Millis,
-    /// Until when it is included in messages.
-    told_until: Millis,
-    is_own: bool,
+    announcement: Announcement,
 }
 
 /// All that a host knows of prompts that end servers.
@@ -184,9 +182,9 @@
             let is_cleared = self.clear(*part, now, true);
             let sound = self.sound.entry(*part, Sound::default);
             sound.at = now;
-            sound.is_own = true;
+            sound.announcement.claim();
             if is_cleared {
-                sound.told_until = now + NEWS_TTL;
+                sound.announcement.renew(now, ANNOUNCE_TTL);
             }
             is_news |= is_cleared;
         }
@@ -196,7 +194,7 @@
 
     /// What to tell other hosts now; a host that passes messages on (`is_hub`) tells what it has heard as well.
     pub fn evidence(&mut self, now: Millis, is_hub: bool) -> Option<PromptEvidence> {
-        let is_recent = |c: &&Crash| now.since(c.at) < NEWS_TTL && (c.is_own || is_hub);
+        let is_recent = |c: &&Crash| now.since(c.at) < ANNOUNCE_TTL && (c.is_own || is_hub);
         let mut fits = room_for(MAX_MESSAGE_PARTS);
         let crashes = self.crashes.iter().rev().filter(is_recent);
         let crashes: Vec<CrashReport> = crashes
@@ -207,8 +205,8 @@
                 parts: c.parts.clone(),
             })
             .collect();
-        let is_told = |s: &Sound| now < s.told_until && (s.is_own || is_hub);
-        let sound = self.sound.iter().filter(|(_, s)| is_told(s));
+        let is_due = |s: &Sound| s.announcement.is_due(now, is_hub);
+        let sound = self.sound.iter().filter(|(_, s)| is_due(s));
         let sound: Vec<SoundPart> = sound
             .take(MAX_MESSAGE_PARTS)
             .map(|(part, s)| SoundPart {
@@ -256,8 +254,7 @@
             is_news |= self.clear(one.part, at, false);
             let sound = Sound {
                 at,
-                told_until: now + NEWS_TTL,
-                is_own: false,
+                announcement: Announcement::start(now, ANNOUNCE_TTL, false),
             };
             self.sound.insert(one.part, sound);
         }
@@ -328,7 +325,7 @@
             };
             if crash.at.since(sound.at) < PROVEN_TTL {
                 // The other hosts are to judge the part as this one does.
-                sound.told_until = now + NEWS_TTL;
+                sound.announcement.renew(now, ANNOUNCE_TTL);
             }
             sound.at <= crash.at
         });
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -256,3 +256,16 @@
     let told: Vec<u64> = evidence.sound.iter().map(|s| s.part).collect();
     assert_eq!(told, [SHARED]);
 }
+
+/// A host that has answered on a part before it hears of a crash tells its hub that the part is sound.
+#[test]
+fn earlier_answer_is_told() {
+    let mut hosts = vec![Quarantine::default(); 2];
+    hosts[0].record_sound(Millis(900), &[SHARED]);
+    crash(&mut hosts[1], 1, 1, &[SHARED, FATAL]);
+    let report = hosts[1].evidence(Millis(1_100), false).unwrap();
+    hosts[0].merge(Millis(1_150), &report);
+    let evidence = hosts[0].evidence(Millis(1_200), false).unwrap();
+    let told: Vec<u64> = evidence.sound.iter().map(|s| s.part).collect();
+    assert_eq!(told, [SHARED]);
+}
