gateway: one way to refuse a request that has not run

Stopping hosts, quarantined prompts and limited servers each built the refusal and recorded the request's end by themselves, the last two as copies of the first. Job::refuse does both. Behaviour is the same; tests of the gateway pass.

--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::context::Context;
-use crate::reply::{self, Body};
+use crate::reply::Body;
 use crate::send::Job;
 use crate::store::{CallError, Store};
 
@@ -76,13 +76,12 @@
 
     /// The response to a quarantined request that was not sent to any server.
     pub fn refuse_quarantined(&self, ctx: &Context, left: Millis) -> Response<Body> {
-        let response = reply::refused(
+        self.refuse(
+            ctx,
             "quarantined",
             "prompts with these parts have ended the servers that began to answer them; the request has not run",
             left.0,
-        );
-        self.record_end(ctx, "quarantined", response.status(), None);
-        response
+        )
     }
 
     /// Records that a server ended as it began to answer this request.
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -106,20 +106,30 @@
         texts: &FailureTexts,
     ) -> Response<Body> {
         match (history.abandon(), retry) {
-            (Action::Refuse, Some(retry)) => {
-                let response = reply::refused(
-                    "limited",
-                    "the backend servers take no more requests at present; the request has not run, retry later",
-                    // Another host may have a turn sooner.
-                    retry.min(MAX_TURN_RETRY).0,
-                );
-                self.record_end(ctx, "limited", response.status(), None);
-                response
-            }
+            (Action::Refuse, Some(retry)) => self.refuse(
+                ctx,
+                "limited",
+                "the backend servers take no more requests at present; the request has not run, retry later",
+                // Another host may have a turn sooner.
+                retry.min(MAX_TURN_RETRY).0,
+            ),
             (action, _) => self.answer_failure(ctx, action, "no_server", texts),
         }
     }
 
+    /// The response that refuses the request, which has not run; logs and counts its end as `cause`.
+    pub fn refuse(
+        &self,
+        ctx: &Context,
+        cause: &'static str,
+        message: &str,
+        retry_ms: u64,
+    ) -> Response<Body> {
+        let response = reply::refused(cause, message, retry_ms);
+        self.record_end(ctx, cause, response.status(), None);
+        response
+    }
+
     /// Logs that no server can be chosen, with the counts that tell the reasons apart.
     pub fn log_no_server(&self, ctx: &Context) {
         let counts = ctx.servers.counts(ctx.now(), self.plan.service.as_str());
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -141,13 +141,12 @@
         .stopped()
         .is_some_and(|at| ctx.now().since(at) > last_start)
     {
-        let response = reply::refused(
+        return job.refuse(
+            ctx,
             "stopping",
             "the host is stopping, too little time is left; the request has not run, send it to another host",
             STOPPING_RETRY_MS,
         );
-        job.record_end(ctx, "stopping", response.status(), None);
-        return response;
     }
     if is_stream {
         streams::run(Arc::clone(ctx), Arc::new(job)).await
