relay, gateway: the suspicion against one request is decided without a network

The counts of servers that ended under a request, and what follows from them, were fields and conditions of the stream's state, reachable only through real connections. The time until a limited server has a turn was kept in the same state for one caller to pick up; the error of an attempt that is not placed carries it.

--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -15,7 +15,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use platform::response::{self, Head};
-use relay::{Action, Event, EventAction, Outcome, Progress, SendHistory, Splitter};
+use relay::{Action, Event, EventAction, Outcome, Progress, SendHistory, Splitter, Suspicion};
 use routing::Kind;
 
 use crate::backups::{self, Backup, BackupTask, KvDemand};
@@ -47,6 +47,9 @@
 /// server is reachable.
 const STALL_RANGE_MS: (u64, u64) = (1_000, 1_500);
 
+/// An answer with this number of events from one server is past its beginning.
+const PROVING_EVENTS: u64 = 2;
+
 /// An attempt to run the stream at one server, from its first event on.
 struct Attempt {
     body: Incoming,
@@ -59,15 +62,6 @@
     events: u64,
 }
 
-/// An answer with this number of events from one server is past its beginning.
-const PROVING_EVENTS: u64 = 2;
-
-/// Servers that may end as they begin to answer a request before it is abandoned.
-const MAX_BEGUN_LOST: u32 = 2;
-
-/// After this number of servers that ended before they began to answer a request, it is taken for the cause.
-const MAX_WAITING_LOST: u32 = 2;
-
 /// State of a stream over all its attempts.
 struct StreamState {
     ctx: Arc<Context>,
@@ -81,14 +75,16 @@
     first_event: Option<Event>,
     /// KV cache backup of the last failed attempt, from which the next one resumes.
     backup: Option<Backup>,
-    /// Servers that ended as they began to answer.
-    begun_lost: u32,
-    /// Servers that ended before they began to answer.
-    waiting_lost: u32,
-    /// Whether an answer got past its beginning, so that the request is not the cause of any server's end.
-    is_proven: bool,
-    /// Time until a limited server may take the next attempt; `None` if that is not why none was placed.
-    turn_retry: Option<Millis>,
+    /// Whether the request is the cause of the ends of its servers.
+    suspicion: Suspicion,
+}
+
+/// Why an attempt has no first event.
+enum StartError {
+    /// No server can be chosen for it.
+    Unplaced(NoServer),
+    /// It ended with this outcome.
+    Ended(Outcome),
 }
 
 /// Reason why an attempt yields no more events.
@@ -111,15 +107,12 @@
         }
         let outcome = match state.start_attempt().await {
             Ok(headers) => return state.into_response(headers),
-            Err(Some(outcome)) => outcome,
-            Err(None) => {
-                let retry = state.turn_retry;
-                return state.job.answer_unplaced(
-                    &state.ctx,
-                    &state.history,
-                    retry,
-                    &FAILURE_TEXTS,
-                );
+            Err(StartError::Ended(outcome)) => outcome,
+            Err(StartError::Unplaced(none)) => {
+                let (ctx, history) = (&state.ctx, &state.history);
+                return state
+                    .job
+                    .answer_unplaced(ctx, history, none.retry, &FAILURE_TEXTS);
             }
         };
         if outcome == Outcome::TimedOut && state.job.time_left(state.ctx.now()) == Millis(0) {
@@ -153,16 +146,13 @@
             attempt: None,
             first_event: None,
             backup: None,
-            begun_lost: 0,
-            waiting_lost: 0,
-            is_proven: false,
-            turn_retry: None,
+            suspicion: Suspicion::default(),
         }
     }
 
     /// The next step after an attempt that ended with `outcome`; may wait for the retry budget.
     async fn next_action(&mut self, outcome: Outcome) -> Action {
-        if self.begun_lost >= MAX_BEGUN_LOST {
+        if self.suspicion.is_convincing() {
             self.history.record(
                 outcome,
                 self.job.plan.route.kind,
@@ -181,20 +171,19 @@
     ///
     /// # Errors
     ///
-    /// The outcome of the attempt; `None` if no server is available.
-    async fn start_attempt(&mut self) -> Result<HeaderMap, Option<Outcome>> {
+    /// A [`StartError`].
+    async fn start_attempt(&mut self) -> Result<HeaderMap, StartError> {
         let now = self.ctx.now();
         let backup = self.backup.take();
         let mut lease = match &backup {
             Some(backup) => self
                 .lease_backup(backup, now)
-                .ok_or(Some(Outcome::Unsent))?,
+                .ok_or(StartError::Ended(Outcome::Unsent))?,
             None => match self.place().await {
                 Ok(lease) => lease,
                 Err(none) => {
                     self.job.log_no_server(&self.ctx);
-                    self.turn_retry = none.retry;
-                    return Err(None);
+                    return Err(StartError::Unplaced(none));
                 }
             },
         };
@@ -230,7 +219,7 @@
                 );
                 self.record_lost(&id, outcome, has_head);
                 self.avoid.push(id);
-                return Err(Some(outcome));
+                return Err(StartError::Ended(outcome));
             }
         };
         lease.record_first_output();
@@ -259,15 +248,7 @@
             Outcome::TimedOut => self.job.time_left(self.ctx.now()) > Millis(0),
             _ => false,
         };
-        if !is_lost || self.is_proven {
-            return;
-        }
-        if has_begun {
-            self.begun_lost += 1;
-        } else {
-            self.waiting_lost += 1;
-        }
-        if has_begun || self.waiting_lost > MAX_WAITING_LOST {
+        if is_lost && self.suspicion.record_lost(has_begun) {
             self.job.record_crash(&self.ctx, server);
         }
     }
@@ -330,7 +311,7 @@
                 Ok(Some(event)) => {
                     attempt.events += 1;
                     if attempt.events == PROVING_EVENTS {
-                        self.is_proven = true;
+                        self.suspicion.clear();
                         self.job.record_sound(&self.ctx);
                     }
                     self.ctx.servers.record_activity(&attempt.lease.id, self.ctx.now());
@@ -362,7 +343,7 @@
                 return Err(self.cut_off(outcome.into()));
             }
             // A stream that has had output cannot be the cause, and is not made to wait.
-            if !self.is_proven && self.job.until_admitted(&self.ctx).await.is_err() {
+            if !self.suspicion.is_cleared() && self.job.until_admitted(&self.ctx).await.is_err() {
                 return Err(self.cut_off("quarantined"));
             }
             let source = if self.backup.is_some() {
@@ -377,8 +358,8 @@
                     self.progress.reset_idle_timer(now);
                     return Ok(());
                 }
-                Err(Some(failed)) => outcome = failed,
-                Err(None) => return Err(self.cut_off("no_server")),
+                Err(StartError::Ended(failed)) => outcome = failed,
+                Err(StartError::Unplaced(_)) => return Err(self.cut_off("no_server")),
             }
             if outcome == Outcome::NotRun
                 && source == "prompt"
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod outcome;
 pub mod progress;
 pub mod quarantine;
+pub mod suspicion;
 
 pub use budget::Budget;
 pub use events::{Event, SplitError, Splitter};
 pub use outcome::{Action, Outcome, SendHistory};
 pub use progress::{EventAction, Progress};
 pub use quarantine::{Admission, Quarantine};
+pub use suspicion::Suspicion;
