--- a/crates/gooseberry-gateway/tests/fatal_prompts.rs
+++ b/crates/gooseberry-gateway/tests/fatal_prompts.rs
@@ -6,14 +6,13 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use gooseberry_gateway::link::Link;
 use gooseberry_gateway::run::Gateway;
 use gooseberry_standin::site::worker::FATAL_PART;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use membership::gossip::{Body, Gossip, ListedPeer};
 use relay::Quarantine;
-use site::{Answer, Site, exchange, generation};
+use site::{Site, generation, send_to};
 
 /// Servers that may end before such prompts are recognised, and sends allowed after that.
 const MAX_RUNS: usize = 5 + 3;
@@ -28,15 +27,7 @@
         let centre = if i % 2 == 0 { "a" } else { "b" };
         site.server(&format!("e-{i}"), true, centre).await;
     }
-    let other = site.gateway("host-2").await;
-    let listed = || other.ctx.servers.lock().roster.len() == ENGINES + 2;
-    site.until("the second gateway knows all servers", listed)
-        .await;
-    let is_heard = |g: &Gateway| g.ctx.gossip().has_members();
-    site.until("the gateways hear each other", || {
-        is_heard(&site.gateway) || is_heard(&other)
-    })
-    .await;
+    let other = site.peer("host-2").await;
     (site, other)
 }
 
@@ -48,12 +39,6 @@
     request
 }
 
-async fn send_to(gateway: &Gateway, request: Request<Full<Bytes>>) -> Answer {
-    let addr = gateway.listen.callers;
-    let mut link = Link::open(addr, Millis(5_000)).await.unwrap();
-    exchange(&mut link, request).await
-}
-
 #[tokio::test]
 async fn fatal_part_ends_few_servers() {
     let (site, other) = site().await;
--- a/crates/gooseberry-gateway/tests/server_limits.rs
+++ b/crates/gooseberry-gateway/tests/server_limits.rs
@@ -6,21 +6,16 @@
 
 use base::prelude::*;
 use futures_util::future::join_all;
-use gooseberry_gateway::link::Link;
 use gooseberry_gateway::run::Gateway;
 use hyper::StatusCode;
-use site::{Site, exchange, generation, request};
+use site::{Site, exchange, generation, open, request, send_to};
 
 /// Calls sent once a limit is known.
 const CALLS: usize = 200;
 
 /// Sends a call to each gateway in turn; returns the statuses.
 async fn send_calls(gateways: &[&Gateway], name: &str, count: usize) -> Vec<StatusCode> {
-    let mut links = Vec::new();
-    for gateway in gateways {
-        let addr = gateway.listen.callers;
-        links.push(Link::open(addr, Millis(5_000)).await.unwrap());
-    }
+    let mut links = join_all(gateways.iter().map(|g| open(g))).await;
     let mut statuses = Vec::new();
     for i in 0..count {
         let link = &mut links[i % gateways.len()];
@@ -33,15 +28,7 @@
 /// A site whose second gateway knows the servers and the first gateway.
 async fn site() -> (Site, Gateway) {
     let site = Site::start().await;
-    let other = site.gateway("host-2").await;
-    let listed = || other.ctx.servers.lock().roster.len() == 4;
-    site.until("the second gateway knows all servers", listed)
-        .await;
-    let is_heard = |g: &Gateway| g.ctx.gossip().has_members();
-    site.until("the gateways hear each other", || {
-        is_heard(&site.gateway) || is_heard(&other)
-    })
-    .await;
+    let other = site.peer("host-2").await;
     (site, other)
 }
 
@@ -83,13 +70,7 @@
         send_calls(&gateways, "tell", 2).await;
     }
     let (before, started) = (count(), Instant::now());
-    let calls = (0..30).map(|i| {
-        let addr = other.listen.callers;
-        async move {
-            let mut link = Link::open(addr, Millis(5_000)).await.unwrap();
-            exchange(&mut link, request(&format!("call-{i}"), "/once/a")).await
-        }
-    });
+    let calls = (0..30).map(|i| send_to(&other, request(&format!("call-{i}"), "/once/a")));
     let mut refused = 0;
     for answer in join_all(calls).await {
         if answer.status == StatusCode::SERVICE_UNAVAILABLE {
@@ -148,19 +129,15 @@
     let (site, other) = site().await;
     let id = BackendId::from("e-1");
     site.shared.set_header("e-1", "server-limit", Some("1"));
-    let send = async |name: String, gateway: &Gateway| {
-        let addr = gateway.listen.callers;
-        let mut link = Link::open(addr, Millis(5_000)).await.unwrap();
-        exchange(&mut link, generation(&name, "/draft/a")).await
-    };
+    let send = |name: String| send_to(&other, generation(&name, "/draft/a"));
     let mut told = 0;
     while !other.ctx.servers.is_limited(&id) {
-        assert!(send(format!("tell-{told}"), &other).await.is_whole);
+        assert!(send(format!("tell-{told}")).await.is_whole);
         told += 1;
     }
     let (before, started) = (site.shared.runs_at("e-1"), Instant::now());
     for i in 0..12 {
-        assert!(send(format!("stream-{i}"), &other).await.is_whole);
+        assert!(send(format!("stream-{i}")).await.is_whole);
     }
     let runs = site.shared.runs_at("e-1") - before;
     let allowed = 1.5 * started.elapsed().as_secs_f64() + 5.0;
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -21,11 +21,7 @@
 #[tokio::test]
 async fn leaving_server_is_not_used() {
     let site = Site::start().await;
-    let other = site.gateway("host-2").await;
-    site.until("the second gateway knows all servers", || {
-        other.ctx.servers.lock().roster.len() == 4
-    })
-    .await;
+    let other = site.peer("host-2").await;
     for id in ["p-1", "e-1"] {
         site.shared.set_header(id, "server-leaving", Some("1"));
     }
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -97,6 +97,24 @@
             .unwrap()
     }
 
+    /// Starts another gateway in the same data centre, and waits until it knows the servers, the configuration and the
+    /// first gateway.
+    pub(crate) async fn peer(&self, host: &str) -> Gateway {
+        let peer = self.gateway(host).await;
+        let servers = self.store.keys("servers").len();
+        self.until("the gateway knows servers and configuration", || {
+            let listed = peer.ctx.servers.lock().roster.len();
+            listed == servers && version(&peer) == self.version()
+        })
+        .await;
+        let has_members = |g: &Gateway| g.ctx.gossip().has_members();
+        self.until("the gateways hear each other", || {
+            has_members(&self.gateway) || has_members(&peer)
+        })
+        .await;
+        peer
+    }
+
     /// Starts another gateway, whose way to the store can be cut by dropping the guard.
     pub(crate) async fn gateway_apart(&self, host: &str) -> (Gateway, DropGuard) {
         let listener = listener().await;
@@ -200,12 +218,11 @@
 
     /// Sends a request over a new connection and reads the whole answer.
     pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Answer {
-        let mut link = self.open().await;
-        exchange(&mut link, request).await
+        send_to(&self.gateway, request).await
     }
 
     pub(crate) async fn open(&self) -> Link {
-        Link::open(self.callers, Millis(5_000)).await.unwrap()
+        open(&self.gateway).await
     }
 
     /// Whether the load balancer's readiness check succeeds.
@@ -222,6 +239,17 @@
     snapshot.as_ref().map_or(0, |s| s.version.0)
 }
 
+/// Opens a connection to a gateway as a caller.
+pub(crate) async fn open(gateway: &Gateway) -> Link {
+    let addr = gateway.listen.callers;
+    Link::open(addr, Millis(5_000)).await.unwrap()
+}
+
+/// Sends a request to a gateway over a new connection and reads the whole answer.
+pub(crate) async fn send_to(gateway: &Gateway, request: Request<Full<Bytes>>) -> Answer {
+    exchange(&mut open(gateway).await, request).await
+}
+
 /// Sends a request on `link` and reads the whole answer.
 pub(crate) async fn exchange(link: &mut Link, request: Request<Full<Bytes>>) -> Answer {
     let response = tokio::time::timeout(TIMEOUT, link.send(request)).await;
--- a/crates/gooseberry-gateway/tests/store_restored.rs
+++ b/crates/gooseberry-gateway/tests/store_restored.rs
@@ -19,11 +19,7 @@
 /// A site with a second gateway, which follows the tables through the first one.
 async fn site() -> (Site, Gateway) {
     let site = Site::start().await;
-    let other = site.gateway("host-2").await;
-    site.until("the second gateway knows all", || {
-        other.ctx.servers.lock().roster.len() == 4 && version(&other) == 1
-    })
-    .await;
+    let other = site.peer("host-2").await;
     (site, other)
 }
 
