--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -25,7 +25,7 @@
 
 /// Maximum size of the answers to calls that are buffered at once, so that servers which send without end do not use
 /// up the host's memory.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
 /// Bytes of each answer that do not count.
 const FREE_ANSWER_BYTES: usize = 64 << 10;
@@ -284,7 +284,7 @@
             .answer_bytes
             .fetch_add(more, Ordering::Relaxed)
             .saturating_add(more);
-        more == 0 || total <= MAX_ANSWER_BYTES
+        more == 0 || total <= MAX_BUFFERED_BYTES
     }
 
     fn counted(&self) -> usize {
