--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -35,6 +35,9 @@
 /// the response and the first event.
 pub const FATAL_PART: &str = "fa7a1";
 
+/// Pause of [`Quirk::Slow`]; a gateway checks a silent server within it, and does not give it up yet.
+const SLOW_PAUSE: Duration = Duration::from_millis(800);
+
 /// The settings of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -101,6 +104,8 @@
     BreakFirst,
     /// Stalls the stream, on the first run of the request.
     SilentFirst,
+    /// Sends nothing for [`SLOW_PAUSE`] in the middle of the stream.
+    Slow,
 }
 
 /// A request that a backend server has run, as received.
@@ -452,6 +457,9 @@
             // If the caller closes the connection during the stall, the send below fails.
             sleep(Duration::from_secs(600)).await;
         }
+        if number == middle && quirk == Some(Quirk::Slow) {
+            sleep(SLOW_PAUSE).await;
+        }
         let event = event(body_hash, number);
         if number == middle && quirk == Some(Quirk::BreakFirst) {
             return send_truncated(sender, Bytes::from(event[..event.len() / 2].to_owned())).await;
