--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -75,10 +75,7 @@
     ) -> bool {
         let mut fleet = self.lock();
         let hosts = fleet.sharing_hosts();
-        let Some(server) = fleet.servers.get_mut(id) else {
-            return false;
-        };
-        let known = &mut server.limit;
+        let known = &mut fleet.servers.entry(id.clone(), Server::default).limit;
         // An answer without a limit may have been on its way when another one named it.
         let is_stale = limit.is_none() && (known.turns.is_none() || sent < known.said_at);
         if is_stale || !known.apply(now, now, limit, hosts) {
@@ -91,11 +88,10 @@
     /// Records that a server wants no requests from this host for a while.
     pub fn pause(&self, id: &BackendId, now: Millis, pause: Millis) {
         let mut fleet = self.lock();
-        if let Some(server) = fleet.servers.get_mut(id) {
-            // Spreads the return of the requests of several hosts.
-            let extra = Millis(pause.0 * rand::random_range(0..=MAX_SPREAD_PERCENT) / 100);
-            server.paused_until = server.paused_until.max(now + pause + extra);
-        }
+        let server = fleet.servers.entry(id.clone(), Server::default);
+        // Spreads the return of the requests of several hosts.
+        let extra = Millis(pause.0 * rand::random_range(0..=MAX_SPREAD_PERCENT) / 100);
+        server.paused_until = server.paused_until.max(now + pause + extra);
     }
 
     /// Takes turns at a server; returns `false` if it is limited and none is due, or it is paused.
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -94,3 +94,22 @@
     let rejections = ["p-1", "p-2"].map(|id| site.shared.rejections_at(id));
     assert_eq!(rejections, [1, 1]);
 }
+
+/// A poll may be the first that a host hears of a server.
+#[tokio::test]
+async fn notice_of_unused_server() {
+    let site = Site::start().await;
+    let ctx = &site.gateway.ctx;
+    ctx.servers
+        .pause(&BackendId::from("p-1"), ctx.now(), Millis(30_000));
+    let id = BackendId::from("e-1");
+    assert!(
+        ctx.servers
+            .record_limit(&id, ctx.now(), ctx.now(), Some(1_000))
+    );
+    for i in 0..REQUESTS {
+        let call = site.send(request(&format!("call-{i}"), "/once/a")).await;
+        assert_eq!(call.status, StatusCode::OK);
+    }
+    assert_eq!(site.shared.runs_at("p-1"), 0);
+}
