--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -94,6 +94,15 @@
         server.paused_until = server.paused_until.max(now + pause + extra);
     }
 
+    /// Whether a server takes requests from this host, apart from its limit: it is listed, has not said that it is
+    /// leaving, and is not paused.
+    pub fn takes_requests(&self, id: &BackendId, now: Millis) -> bool {
+        let fleet = self.lock();
+        let is_usable = fleet.roster.get(id).is_some_and(|m| m.is_usable(now));
+        let server = fleet.servers.get(id);
+        is_usable && server.is_none_or(|s| now >= s.paused_until)
+    }
+
     /// Takes turns at a server; returns `false` if it is limited and none is due, or it is paused.
     pub fn take_turns(&self, id: &BackendId, now: Millis, count: u64) -> bool {
         self.lock().take_turns(id, now, count)
--- a/crates/gooseberry-gateway/src/notices.rs
+++ b/crates/gooseberry-gateway/src/notices.rs
@@ -1,7 +1,8 @@
 //! What servers say of themselves in the heads of their answers.
 
 use base::prelude::*;
-use platform::response::Notice;
+use hyper::http::response::Parts;
+use platform::response::{self, Notice};
 
 use crate::context::Context;
 
@@ -29,3 +30,10 @@
         ctx.wake_gossip.notify_one();
     }
 }
+
+/// Records what a server says in the head of an answer that passes through this host to another one.
+pub fn record_relayed(ctx: &Context, id: &BackendId, head: &Parts) {
+    if response::server(&head.headers).is_none_or(|s| s == *id) {
+        record(ctx, id, None, &response::notice(head));
+    }
+}
--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -34,7 +34,7 @@
 /// # Errors
 ///
 /// The operating system's error, or `TimedOut` after `timeout`; for a server that another host does not reach
-/// either, `ConnectionRefused`; if no other host opens tunnels at present, `HostUnreachable`.
+/// either, `ConnectionRefused`; for one that wants no requests through other hosts, `ResourceBusy`; if no other host opens tunnels at present, `HostUnreachable`.
 pub async fn open(
     ctx: &Arc<Context>,
     id: &BackendId,
@@ -56,12 +56,16 @@
             }
         }
     }
-    match tunnel::open(ctx, id).await {
+    match tunnel::open(ctx, id, cause).await {
         Ok(link) => Ok(link),
         Err(TunnelError::Unreachable) => Err(io::Error::new(
             io::ErrorKind::ConnectionRefused,
             TunnelError::Unreachable,
         )),
+        Err(TunnelError::Held) => Err(io::Error::new(
+            io::ErrorKind::ResourceBusy,
+            TunnelError::Held,
+        )),
         // Where no other host opens tunnels, this host's own path is all that is left.
         Err(TunnelError::NoHost) if ctx.gossip().tunnel_hosts().is_empty() => {
             open_direct(ctx, id, addr, timeout, cause).await
@@ -207,7 +211,7 @@
     }
     let (ctx, id) = (Arc::clone(ctx), id.clone());
     tokio::spawn(async move {
-        if tunnel::open(&ctx, &id).await.is_ok() && !ctx.servers.is_indirect(&id) {
+        if tunnel::open(&ctx, &id, "check").await.is_ok() && !ctx.servers.is_indirect(&id) {
             ctx.servers.record_failed_path(&id);
             tracing::warn!(server = %id, "server reached through another host only");
             ctx.paths_lost.notify_one();
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -19,7 +19,7 @@
 use crate::fleet::Lease;
 use crate::link::{Link, SendError};
 use crate::reply::{self, Body};
-use crate::{link, liveness, notices, paths};
+use crate::{link, liveness, notices, paths, tunnel};
 
 /// Time limit for opening a connection; within a data centre it takes a few milliseconds.
 const CONNECT_TIMEOUT: Millis = Millis(250);
@@ -250,10 +250,21 @@
     })
 }
 
-/// Connects to the leased server; marks it as unreachable if that fails.
+/// Connects to the leased server; marks it as unreachable if that fails, unless it only wants no requests.
 async fn connect_leased(ctx: &Arc<Context>, lease: &Lease) -> Result<Link, Outcome> {
-    match connect(ctx, &lease.id, lease.addr, CONNECT_TIMEOUT, "request").await {
+    let connected = connect(
+        ctx,
+        &lease.id,
+        lease.addr,
+        CONNECT_TIMEOUT,
+        tunnel::FOR_REQUEST,
+    );
+    match connected.await {
         Ok(link) => Ok(link),
+        Err(error) if error.kind() == io::ErrorKind::ResourceBusy => {
+            tracing::info!(server = %lease.id, %error, "request not sent");
+            Err(Outcome::Unsent)
+        }
         Err(error) => {
             liveness::handle_unreachable(ctx, &lease.id);
             tracing::info!(server = %lease.id, addr = %lease.addr, %error, "server not reachable");
--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -3,12 +3,15 @@
 //! A stream of HTTP/2 tells its end from a loss, so that an answer which ends with its connection can be trusted, and
 //! its pings are answered however slowly the tunnel is read, so that either host notices the loss of the other.
 //!
-//! The other host connects to the server and forwards bytes in both directions without parsing them; it neither
-//! chooses a server nor retries a request. The host that received the request keeps all decisions: the server,
+//! The other host connects to the server and forwards bytes in both directions unchanged; it neither chooses a server
+//! nor retries a request. It reads the head of the answer, as a server which says that it is leaving or wants no
+//! requests for a while says so to the host that has connected to it, and opens no tunnel for a request after that.
+//! The host that received the request keeps all decisions: the server,
 //! the time limit, retries and their budget, and the response. A host opens tunnels over its own connections
 //! only, so that no tunnel leads through another one. A tunnel carries one request and is not kept afterwards,
 //! so that a stopping host has to wait for requests only.
 
+pub mod head;
 pub mod serve;
 
 use std::net::SocketAddr;
@@ -32,6 +35,12 @@
 /// Names the server that a tunnel leads to.
 const SERVER: HeaderName = HeaderName::from_static("backend-server");
 
+/// Names what a tunnel is for; absent in requests of earlier versions.
+const PURPOSE: HeaderName = HeaderName::from_static("tunnel-purpose");
+
+/// The purpose of a tunnel for a caller's request; all others check or manage the server.
+pub const FOR_REQUEST: &str = "request";
+
 /// Says why a host does not open a tunnel, as a [`Refusal`].
 const REFUSAL: HeaderName = HeaderName::from_static("tunnel-refusal");
 
@@ -71,8 +80,10 @@
     Unreachable,
     /// It reaches no server of the service itself.
     NoContact,
-    /// It does not know the server.
+    /// It does not know the server, or as for `Held` if the other host is of an earlier version.
     Unknown,
+    /// The server has said to it that it is leaving or wants no requests for a while.
+    Held,
     /// It has too many tunnels open.
     Busy,
     /// It is stopping.
@@ -87,23 +98,31 @@
     /// Other hosts do not reach the server either.
     #[error("other hosts do not reach the server either")]
     Unreachable,
+    /// The server wants no requests through the other hosts at present.
+    #[error("the server wants no requests through other hosts")]
+    Held,
     /// No host opens tunnels at present.
     #[error("no other host opens a tunnel to the server")]
     NoHost,
 }
 
-/// Opens a tunnel to a server through one of the other hosts.
+/// Opens a tunnel to a server through one of the other hosts, for the given purpose.
 ///
 /// # Errors
 ///
 /// A [`TunnelError`]; nothing has been sent to the server then.
-pub async fn open(ctx: &Context, id: &BackendId) -> Result<Link, TunnelError> {
+pub async fn open(
+    ctx: &Context,
+    id: &BackendId,
+    purpose: &'static str,
+) -> Result<Link, TunnelError> {
     let (Some(addr), Some(centre)) = (ctx.servers.addr(id), ctx.servers.centre(id)) else {
         return Err(TunnelError::Unreachable);
     };
     let hosts = ctx.gossip().tunnel_hosts();
     let mut tried = Vec::new();
     let mut refusals = 0;
+    let mut is_held = false;
     while tried.len() < MAX_HOSTS && refusals < MIN_REFUSALS {
         let request = TunnelRequest {
             server_centre: &centre,
@@ -115,12 +134,16 @@
             break;
         };
         tried.push(host.addr);
-        match open_through(ctx, host.addr, id, addr).await {
+        match open_through(ctx, host.addr, id, addr, purpose).await {
             Ok(link) => return Ok(link),
             Err(Some(Refusal::Unreachable)) => refusals += 1,
+            Err(Some(Refusal::Held)) => is_held = true,
             Err(_) => {}
         }
     }
+    if is_held {
+        return Err(TunnelError::Held);
+    }
     if refusals > 0 {
         return Err(TunnelError::Unreachable);
     }
@@ -159,6 +182,7 @@
     host: SocketAddr,
     id: &BackendId,
     addr: SocketAddr,
+    purpose: &'static str,
 ) -> Result<Link, Option<Refusal>> {
     let mut pending = Pending {
         ctx,
@@ -166,7 +190,7 @@
         since: ctx.now(),
         is_answered: false,
     };
-    let exchange = connect(host, id, addr);
+    let exchange = connect(host, id, addr, purpose);
     let result = match tokio::time::timeout(HOST_TIMEOUT.duration(), exchange).await {
         Ok(result) => result,
         Err(_) => Err(None),
@@ -181,7 +205,10 @@
         Err(refusal) => {
             let cause = refusal.map_or("silent", Into::into);
             // A host that answers for the server alone can open tunnels to others.
-            if !matches!(refusal, Some(Refusal::Unreachable | Refusal::Unknown)) {
+            if !matches!(
+                refusal,
+                Some(Refusal::Unreachable | Refusal::Unknown | Refusal::Held)
+            ) {
                 ctx.tunnels().record_failed(ctx.now(), host);
             }
             ctx.metrics.count_tunnel(cause);
@@ -196,6 +223,7 @@
     host: SocketAddr,
     id: &BackendId,
     addr: SocketAddr,
+    purpose: &'static str,
 ) -> Result<Link, Option<Refusal>> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(host));
     let connected = connecting.await.map_err(|_| None)?;
@@ -214,7 +242,9 @@
             tracing::debug!(%error, "connection for a tunnel closed with an error");
         }
     }));
-    let request = Request::connect(addr.to_string()).header(SERVER, id.as_str());
+    let request = Request::connect(addr.to_string())
+        .header(SERVER, id.as_str())
+        .header(PURPOSE, purpose);
     let request = request.body(Empty::new()).map_err(|_| None)?;
     let response = sender.send_request(request).await.map_err(|_| None)?;
     if response.status() != StatusCode::OK {
--- a/crates/gooseberry-gateway/src/tunnel/serve.rs
+++ b/crates/gooseberry-gateway/src/tunnel/serve.rs
@@ -10,17 +10,22 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
+use hyper::upgrade::Upgraded;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, copy, sink, split};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, WriteHalf, copy, sink, split};
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{ASKER_PING_TIMEOUT, PING_INTERVAL, REFUSAL, Refusal, SERVER, WINDOW_BYTES};
+use super::head::HeadReader;
+use super::{
+    ASKER_PING_TIMEOUT, FOR_REQUEST, PING_INTERVAL, PURPOSE, REFUSAL, Refusal, SERVER, WINDOW_BYTES,
+};
 use crate::context::{Context, InFlight};
-use crate::{link, liveness, paths};
+use crate::{link, liveness, notices, paths};
 
 /// Maximum number of tunnels open at once; each takes two connections.
 const MAX_TUNNELS: i64 = 128;
@@ -34,6 +39,9 @@
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// Bytes read at once until the head of an answer is complete.
+const HEAD_CHUNK: usize = 4 << 10;
+
 /// Accepts connections of other hosts until the task is aborted.
 pub async fn accept(ctx: Arc<Context>, listener: TcpListener) {
     loop {
@@ -98,8 +106,9 @@
     let mut response = Response::new(Empty::new());
     match connect(ctx, &request).await {
         Ok((server, far, guard)) => {
+            let ctx = Arc::clone(ctx);
             tokio::spawn(async move {
-                if let Err(error) = run(request, far, &carrier).await {
+                if let Err(error) = run(&ctx, request, &server, far, &carrier).await {
                     tracing::debug!(%server, %error, "tunnel ended with an error");
                 }
                 drop(guard);
@@ -154,6 +163,12 @@
     if ctx.metrics.served_tunnels.get() >= MAX_TUNNELS {
         return Err(Refusal::Busy);
     }
+    let purpose = request.headers().get(PURPOSE);
+    if purpose.is_none_or(|p| p == FOR_REQUEST) && !ctx.servers.takes_requests(&id, ctx.now()) {
+        tracing::info!(server = %id, "tunnel refused: the server wants no requests");
+        // Hosts of the version before take a refusal that they do not know for a failure of this host.
+        return Err(purpose.map_or(Refusal::Unknown, |_| Refusal::Held));
+    }
     // The connection would hang as well; this host tries its paths again by itself.
     if ctx.servers.hangs_since(&id, Millis(0)) {
         return Err(Refusal::NoContact);
@@ -183,9 +198,34 @@
     }
 }
 
+/// Passes an answer on, and records what the server says of itself in its head.
+async fn pass_answer(
+    ctx: &Context,
+    server: &BackendId,
+    far: &mut ReadHalf<'_>,
+    near: &mut WriteHalf<TokioIo<Upgraded>>,
+) -> std::io::Result<()> {
+    let mut head = HeadReader::default();
+    let mut buffer = [0; HEAD_CHUNK];
+    while !head.is_done() {
+        let count = far.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        if let Some(parts) = head.push(&buffer[..count]) {
+            notices::record_relayed(ctx, server, &parts);
+        }
+        near.write_all(&buffer[..count]).await?;
+        near.flush().await?;
+    }
+    copy(far, near).await.map(|_| ())
+}
+
 /// Passes bytes on in both directions until one end closes or fails.
 async fn run(
+    ctx: &Context,
     request: Request<Incoming>,
+    server: &BackendId,
     mut far: TcpStream,
     carrier: &Carrier,
 ) -> std::io::Result<()> {
@@ -196,7 +236,7 @@
     let result = tokio::select! {
         // The other host no longer waits for an answer, or its connection failed.
         result = copy(&mut near_read, &mut far_write) => result.map(|_| false),
-        result = copy(&mut far_read, &mut near_write) => result.map(|_| true),
+        result = pass_answer(ctx, server, &mut far_read, &mut near_write) => result.map(|()| true),
     };
     if let Ok(true) = result {
         near_write.shutdown().await?;
