--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -211,6 +211,12 @@
     options: &StreamOptions<'_>,
 ) -> Result<OpenResponse, Outcome> {
     let mut link = connect_leased(ctx, lease).await?;
+    // The server may have said so to another request since it was leased.
+    if !ctx.servers.takes_requests(&lease.id, ctx.now()) {
+        tracing::info!(id = %job.call.id, server = %lease.id, "request not sent: the server wants none");
+        ctx.servers.keep_idle(&lease.id, link, ctx.now(), None);
+        return Err(Outcome::Unsent);
+    }
     let request = job.build_request(ctx.now(), lease, options);
     let sent = ctx.now();
     let response = match link.send(request).await {
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -2,9 +2,13 @@
 
 mod site;
 
+use std::sync::Arc;
+
 use base::prelude::*;
+use gooseberry_gateway::fleet::Servers;
 use gooseberry_gateway::run::Gateway;
 use hyper::StatusCode;
+use site::cut::Cut;
 use site::{Site, generation, request};
 
 /// Requests sent to see where they go.
@@ -113,3 +117,31 @@
     }
     assert_eq!(site.shared.runs_at("p-1"), 0);
 }
+
+/// A stream that has been placed waits for its backup server, while others hear that its own wants no requests.
+#[tokio::test]
+async fn notice_after_placement() {
+    let site = Site::start().await;
+    let notices: [fn(&Servers, &BackendId, Millis); 2] = [
+        |servers, id, now| servers.pause(id, now, Millis(30_000)),
+        |servers, id, now| assert!(servers.record_leaving(id, now)),
+    ];
+    for (i, notice) in notices.into_iter().enumerate() {
+        let host = site.cut_host(&format!("host-{i}"), &[]).await;
+        host.cut("e-2", Cut::Hang).await;
+        let ctx = Arc::clone(&host.gateway.ctx);
+        // Servers count as active when the host starts, and are not probed before a stream for a while.
+        site.until("servers are probed", || ctx.now() > Millis(1_600))
+            .await;
+        let mut link = host.open().await;
+        let id = format!("stream-{i}");
+        let stream = generation(&id, "/draft/a");
+        let waiting = tokio::spawn(async move { link.send(stream).await.unwrap().status() });
+        let e1 = BackendId::from("e-1");
+        site.until("the stream is placed", || ctx.servers.prefill(&e1) > 0)
+            .await;
+        notice(&ctx.servers, &e1, ctx.now());
+        assert_eq!(waiting.await.unwrap(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(site.shared.runs(&id).is_empty(), "{id} was sent");
+    }
+}
