--- a/crates/gooseberry-gateway/src/fleet/leaving.rs
+++ b/crates/gooseberry-gateway/src/fleet/leaving.rs
@@ -26,7 +26,7 @@
         let leaving = due.filter_map(|(id, _)| {
             Some(LeavingServer {
                 server: short_hash(id.as_str()),
-                start_time: fleet.roster.get(id)?.entry.start_time,
+                start_time: fleet.roster.leaving_start(id)?,
             })
         });
         leaving.take(MAX_ANNOUNCED).collect()
@@ -38,6 +38,7 @@
         let mut is_news = false;
         for one in received {
             let Some(id) = fleet.id_of(one.server) else {
+                is_news |= fleet.roster.record_told_leaving(one.server, one.start_time);
                 continue;
             };
             let member = fleet.roster.get(&id);
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use base::hash::short_hash;
 use base::prelude::*;
 use base::sorted::Sorted;
 use strum::IntoStaticStr;
@@ -95,6 +96,9 @@
     members: Sorted<BackendId, Member>,
     /// Start times of the servers that have said that they are leaving, also of those that are not listed.
     leaving: Sorted<BackendId, u64>,
+    /// Short hashes of the ids and start times of servers that were not listed when another host told that they are
+    /// leaving.
+    told: Sorted<u32, u64>,
     /// Start times of the servers whose rows were removed.
     removed: Sorted<BackendId, u64>,
     /// Rows up to this revision come from an older copy of the registry; 0 if it has not come back from one.
@@ -144,17 +148,23 @@
         change
     }
 
-    /// Records that a server has said that it is leaving; returns whether that is news. No row makes it usable again,
-    /// only another start.
+    /// Records that a server has said that it is leaving, also one whose row was removed meanwhile; returns whether that
+    /// is news. No row makes it usable again, only another start.
     pub fn record_leaving(&mut self, id: &BackendId) -> bool {
-        let Some(member) = self.members.get_mut(id) else {
-            return false;
+        let start_time = match self.members.get_mut(id) {
+            Some(member) => {
+                member.is_gone = true;
+                member.entry.start_time
+            }
+            None => match self.removed.get(id) {
+                Some(start_time) => *start_time,
+                None => return false,
+            },
         };
-        if member.is_gone {
+        if self.leaving.get(id).is_some_and(|s| start_time <= *s) {
             return false;
         }
-        member.is_gone = true;
-        self.leaving.insert(id.clone(), member.entry.start_time);
+        self.leaving.insert(id.clone(), start_time);
         if self.leaving.len() > MAX_GONE {
             let members = &self.members;
             self.leaving.retain(|id, _| members.get(id).is_some());
@@ -162,17 +172,41 @@
         true
     }
 
+    /// Start time of a server that has said that it is leaving; `None` if it has not.
+    pub fn leaving_start(&self, id: &BackendId) -> Option<u64> {
+        self.leaving.get(id).copied()
+    }
+
+    /// Records what another host tells of a server that is not listed here: that it is leaving, and when it started.
+    /// Returns whether that is news.
+    pub fn record_told_leaving(&mut self, server_hash: u32, start_time: u64) -> bool {
+        if self
+            .told
+            .get(&server_hash)
+            .is_some_and(|s| start_time <= *s)
+        {
+            return false;
+        }
+        if self.told.len() >= MAX_GONE {
+            self.told = Sorted::default();
+        }
+        self.told.insert(server_hash, start_time);
+        true
+    }
+
     /// Applies to a listed server what is known of its start; `is_copy` tells whether its row is that of an older copy.
     fn update_leaving(&mut self, id: &BackendId, is_copy: bool) {
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
         let is_of = |start: Option<&u64>| start.is_some_and(|s| member.entry.start_time <= *s);
-        let says_leaving = is_of(self.leaving.get(id));
+        let server_hash = short_hash(id.as_str());
+        let says_leaving = is_of(self.leaving.get(id)) || is_of(self.told.get(&server_hash));
         let was_removed = is_copy && is_of(self.removed.get(id));
         member.is_gone = says_leaving || was_removed;
         if !says_leaving {
             self.leaving.remove(id);
+            self.told.remove(&server_hash);
         }
         if !was_removed {
             self.removed.remove(id);
@@ -265,6 +299,7 @@
             is_gone: false,
         };
         self.members.insert(id.clone(), member);
+        self.update_leaving(id, false);
         Change::Added
     }
 
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -1,5 +1,6 @@
 //! Effects of registry rows on new requests, with rows in and out of order, removals and outages.
 
+use base::hash::short_hash;
 use base::prelude::*;
 use membership::Roster;
 use membership::roster::{Change, Entry, RECOVERY_GRACE, State};
@@ -189,3 +190,40 @@
     roster.expire(Millis(10) + RECOVERY_GRACE);
     assert!(roster.get(new).is_none());
 }
+
+/// The row may be missing when the answer arrives, and when another host tells of it.
+#[test]
+fn leaving_without_a_row() {
+    let ids = ["i-1", "i-2"].map(BackendId::from);
+    let mut roster = Roster::default();
+    for id in &ids {
+        roster.put(id.clone(), entry(1, State::Serving, 7), 1);
+        assert_eq!(roster.remove(id, 2, Millis(0)), Change::Removed);
+    }
+    assert!(roster.record_leaving(&ids[0]), "its last start is known");
+    assert!(!roster.record_leaving(&ids[0]), "no news");
+    let hash = short_hash(ids[1].as_str());
+    assert!(roster.record_told_leaving(hash, 7));
+    assert!(!roster.record_told_leaving(hash, 7), "no news");
+    for (i, id) in ids.iter().enumerate() {
+        let port = 1 + i as u16;
+        roster.put(id.clone(), entry(port, State::Serving, 7), 3);
+        assert!(!usable(&roster, id.as_str(), 0), "{id} is back");
+        roster.put(id.clone(), entry(port, State::Serving, 8), 4);
+        assert!(usable(&roster, id.as_str(), 0), "{id} has started anew");
+    }
+}
+
+/// A server that has said that it is leaving is met at another one's address, while the registry is away.
+#[test]
+fn leaving_server_is_met_again() {
+    let mut roster = Roster::default();
+    let (old, new) = (BackendId::from("i-1"), BackendId::from("i-2"));
+    roster.put(old.clone(), entry(1, State::Serving, 1), 1);
+    roster.put(new.clone(), entry(2, State::Serving, 7), 2);
+    assert!(roster.record_leaving(&new));
+    roster.remove(&new, 3, Millis(0));
+    roster.registry_unavailable();
+    roster.adopt(&old, &new, 7);
+    assert!(!usable(&roster, "i-2", 0));
+}
