--- a/crates/gooseberry-gateway/src/fleet.rs
+++ b/crates/gooseberry-gateway/src/fleet.rs
@@ -34,6 +34,9 @@
 /// How long another host's report that a server is unreachable stays valid.
 const SUSPICION_TTL: Millis = Millis(1_000);
 
+/// How long after its row is gone what a server has said of itself is kept.
+const UNLISTED_TTL: Millis = Millis(60_000);
+
 /// State of one server beyond its registry row.
 #[derive(Debug, Default)]
 struct Server {
@@ -61,6 +64,8 @@
     leaving: Announcement,
     /// What it last said of the requests that it takes.
     limit: Limit,
+    /// When a sweep last found it listed; `None` until the first one.
+    last_listed: Option<Millis>,
     /// Idle connections, each with the time until which it may be used.
     idle: Vec<(Link, Millis)>,
 }
@@ -451,13 +456,23 @@
         Some(lease)
     }
 
-    /// Removes servers that are no longer listed and have no load, and drops expired idle connections.
+    /// Removes servers that are no longer listed and have no load, and drops expired idle connections. What a server has
+    /// said of itself is kept for a while, as its row may be back soon.
     pub fn sweep(&mut self, now: Millis) {
         self.roster.expire(now);
         let roster = &self.roster;
         self.servers.retain(|id, s| {
             s.idle.retain(|(l, until)| now < *until && !l.is_closed());
-            roster.get(id).is_some() || s.load != Load::default()
+            if roster.get(id).is_some() {
+                s.last_listed = Some(now);
+                return true;
+            }
+            if s.load != Load::default() {
+                return true;
+            }
+            s.keep_notices();
+            let listed = *s.last_listed.get_or_insert(now);
+            s.has_notice(now) && now.since(listed) < UNLISTED_TTL
         });
         self.contact
             .retain(|service| roster.iter().any(|(_, m)| m.entry.service == *service));
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -58,6 +58,24 @@
     }
 }
 
+impl Server {
+    /// Whether the server has said of itself what still holds or is told to other hosts.
+    pub(super) fn has_notice(&self, now: Millis) -> bool {
+        now < self.paused_until || self.limit.turns.is_some() || self.leaving.is_due(now, true)
+    }
+
+    /// Forgets all but what the server has said of itself.
+    pub(super) fn keep_notices(&mut self) {
+        *self = Self {
+            paused_until: self.paused_until,
+            leaving: self.leaving,
+            limit: self.limit,
+            last_listed: self.last_listed,
+            ..Self::default()
+        };
+    }
+}
+
 impl Servers {
     /// Sets the number of hosts that share the limits, this one included.
     pub fn set_hosts(&self, hosts: u64) {
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -8,6 +8,7 @@
 use gooseberry_gateway::fleet::Servers;
 use gooseberry_gateway::run::Gateway;
 use hyper::StatusCode;
+use serde_json::Value;
 use site::cut::Cut;
 use site::{Site, generation, request};
 
@@ -145,3 +146,26 @@
         assert!(site.shared.runs(&id).is_empty(), "{id} was sent");
     }
 }
+
+/// A row may be missing for a moment, as around an outage of the registry; a server that has started anew is another.
+#[tokio::test]
+async fn pause_outlives_row() {
+    let site = Site::start().await;
+    let servers = &site.gateway.ctx.servers;
+    let p1 = BackendId::from("p-1");
+    let row = site.store.get("servers", "p-1").unwrap();
+    let mut row: Value = serde_json::from_slice(&row).unwrap();
+    servers.pause(&p1, site.gateway.ctx.now(), Millis(30_000));
+    for (started, is_paused) in [(1, true), (2, false)] {
+        site.put("servers", "p-1", None);
+        site.until("the row is gone", || site.listed_count() == 3)
+            .await;
+        servers.lock().sweep(site.gateway.ctx.now());
+        row["born"] = started.into();
+        site.put("servers", "p-1", Some(row.clone()));
+        site.until("the row is back", || site.listed_count() == 4)
+            .await;
+        let takes_requests = servers.takes_requests(&p1, site.gateway.ctx.now());
+        assert_eq!(takes_requests, !is_paused, "started at {started}");
+    }
+}
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -78,7 +78,7 @@
 pub enum Change {
     /// No effect on requests.
     None,
-    /// The server is new and accepts requests.
+    /// The server is new, or back with the same start, and accepts requests.
     Added,
     /// The server has restarted or moved; the requests that it ran are lost.
     Restarted,
@@ -229,9 +229,13 @@
     fn insert(&mut self, id: BackendId, mut entry: Entry, revision: u64) -> Change {
         let is_copy = revision <= self.copy_revision;
         let Some(held) = self.members.get_mut(&id) else {
+            let removed = self.removed.get(&id);
             let change = match entry.state {
-                State::Serving => Change::Added,
                 State::Leaving => Change::Leaving,
+                State::Serving if removed.is_some_and(|s| *s < entry.start_time) => {
+                    Change::Restarted
+                }
+                State::Serving => Change::Added,
             };
             let member = Member {
                 entry,
