--- a/crates/gooseberry-gateway/src/fleet/leaving.rs
+++ b/crates/gooseberry-gateway/src/fleet/leaving.rs
@@ -9,27 +9,24 @@
 /// How long a leaving server is included in messages to other hosts.
 const ANNOUNCE_TTL: Millis = Millis(3_000);
 
-/// Maximum number of leaving servers in a message, so that it fits a datagram.
-const MAX_ANNOUNCED: usize = 64;
-
 impl Servers {
     /// Records that a server has said to this host that it is leaving; returns whether that is news.
     pub fn record_leaving(&self, id: &BackendId, now: Millis) -> bool {
         self.lock().record_leaving(id, now, true)
     }
 
-    /// Leaving servers for a message to other hosts, from a host that passes messages on (`is_hub`) or does not.
+    /// Leaving servers for messages to other hosts, from a host that passes messages on (`is_hub`) or does not.
     pub fn announced_leaving(&self, now: Millis, is_hub: bool) -> Vec<LeavingServer> {
         let fleet = self.lock();
         let servers = fleet.servers.iter();
         let due = servers.filter(|(_, s)| s.leaving.is_due(now, is_hub));
-        let leaving = due.filter_map(|(id, _)| {
+        due.filter_map(|(id, _)| {
             Some(LeavingServer {
                 server: short_hash(id.as_str()),
                 start_time: fleet.roster.leaving_start(id)?,
             })
-        });
-        leaving.take(MAX_ANNOUNCED).collect()
+        })
+        .collect()
     }
 
     /// Applies a message of another host; returns whether there was news in it.
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -17,9 +17,6 @@
 /// How much longer than asked for a server is paused at most, in percent.
 const MAX_SPREAD_PERCENT: u64 = 10;
 
-/// Maximum number of limits in a message, so that it fits a datagram.
-const MAX_ANNOUNCED: usize = 48;
-
 /// What a server last said of its limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Limit {
@@ -172,17 +169,17 @@
         *count = count.saturating_add_signed(change);
     }
 
-    /// Changed limits for a message to other hosts, from a host that passes messages on (`is_hub`) or does not.
+    /// Changed limits for messages to other hosts, from a host that passes messages on (`is_hub`) or does not.
     pub fn announced_limits(&self, now: Millis, is_hub: bool) -> Vec<ServerLimit> {
         let fleet = self.lock();
         let servers = fleet.servers.iter();
         let due = servers.filter(|(_, s)| s.limit.announcement.is_due(now, is_hub));
-        let limits = due.map(|(id, s)| ServerLimit {
+        due.map(|(id, s)| ServerLimit {
             server: short_hash(id.as_str()),
             limit: s.limit.turns.map(|t| t.limit()),
             age: u32::try_from(now.since(s.limit.said_at).0).unwrap_or(u32::MAX),
-        });
-        limits.take(MAX_ANNOUNCED).collect()
+        })
+        .collect()
     }
 
     /// Applies a message of another host; returns whether there was news in it.
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -17,6 +17,12 @@
 /// The minimum interval between reports; also the pause after a failed receive.
 const MIN_INTERVAL: Millis = Millis(100);
 
+/// Maximum number of limits in a message, so that it fits a datagram.
+const MAX_LIMITS: usize = 48;
+
+/// Maximum number of leaving servers in a message, so that it fits a datagram.
+const MAX_LEAVING: usize = 64;
+
 /// The maximum size of a datagram, in bytes, so that it fits one Ethernet frame.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -40,17 +46,16 @@
         let evidence = ctx.quarantine().evidence(now, relays);
         let limits = ctx.servers.announced_limits(now, relays);
         let leaving = ctx.servers.announced_leaving(now, relays);
-        let news = [
-            evidence.map(Body::Prompts),
-            (!limits.is_empty()).then_some(Body::Limits(limits)),
-            (!leaving.is_empty()).then_some(Body::Leaving(leaving)),
-        ];
+        let limits = limits.chunks(MAX_LIMITS).map(|l| Body::Limits(l.to_vec()));
+        let leaving = leaving.chunks(MAX_LEAVING);
+        let leaving = leaving.map(|l| Body::Leaving(l.to_vec()));
         let messages = {
             let mut gossip = ctx.gossip();
             let mut messages = gossip.digest(now, usage);
             messages.extend(gossip.centre_sums(now));
             messages.extend(gossip.failed_servers(now));
-            for body in news.into_iter().flatten() {
+            let news = evidence.into_iter().map(Body::Prompts);
+            for body in news.chain(limits).chain(leaving) {
                 messages.extend(gossip.news(now, body));
             }
             messages
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -169,3 +169,34 @@
         assert_eq!(takes_requests, !is_paused, "started at {started}");
     }
 }
+
+/// More servers may leave at once than fit a datagram.
+#[tokio::test]
+async fn many_servers_leave() {
+    const SERVERS: usize = 300;
+    let site = Site::start().await;
+    let ctx = &site.gateway.ctx;
+    let ids: Vec<String> = (0..SERVERS).map(|i| format!("many-{i}")).collect();
+    for id in &ids {
+        site.list(id, ([127, 0, 0, 1], 1).into(), false, "a", "ready");
+    }
+    site.until("the servers are listed", || {
+        site.listed_count() == SERVERS + 4
+    })
+    .await;
+    let other = site.peer("host-2").await;
+    for id in ids.iter().map(|id| BackendId::from(id.as_str())) {
+        assert!(ctx.servers.record_leaving(&id, ctx.now()));
+        ctx.servers
+            .record_limit(&id, ctx.now(), ctx.now(), Some(1_000));
+    }
+    ctx.wake_gossip.notify_one();
+    site.until("the other host has heard of all", || {
+        let is_told = |id: &String| {
+            let id = BackendId::from(id.as_str());
+            !is_used(&other, id.as_str()) && other.ctx.servers.is_limited(&id)
+        };
+        ids.iter().all(is_told)
+    })
+    .await;
+}
