--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -231,6 +231,8 @@
     ctx.servers.record_activity(&lease.id, ctx.now());
     let (parts, body) = response.into_parts();
     let head = response::decode(&parts, &job.call.id);
+    let speaker = head.answered_by.as_ref().unwrap_or(&lease.id);
+    notices::record(ctx, speaker, Some(sent), &head.notice);
     if head.is_foreign || head.is_encoded {
         return Err(Outcome::Broken);
     }
@@ -241,7 +243,6 @@
         }
         return Err(Outcome::Moved);
     }
-    notices::record(ctx, &lease.id, Some(sent), &head.notice);
     if head.is_unexecuted {
         return Err(Outcome::NotRun);
     }
--- a/crates/gooseberry-gateway/tests/server_notices.rs
+++ b/crates/gooseberry-gateway/tests/server_notices.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 use serde_json::Value;
 use site::cut::Cut;
-use site::{Site, generation, request};
+use site::{Site, config, generation, request};
 
 /// Requests sent to see where they go.
 const REQUESTS: usize = 12;
@@ -200,3 +200,41 @@
     })
     .await;
 }
+
+/// An answer that is not forwarded still says what its server wants.
+#[tokio::test]
+async fn notice_of_unusable_answer() {
+    let site = Site::start().await;
+    for (id, path) in [("p-1", "/once/encoded"), ("p-2", "/once/foreign")] {
+        site.shared.set_header(id, "server-leaving", Some("1"));
+        let (before, mut sent) = (site.shared.runs_at(id), 0);
+        while site.shared.runs_at(id) == before {
+            let call = site.send(request(&format!("{id}-{sent}"), path)).await;
+            assert_eq!(call.status, StatusCode::BAD_GATEWAY);
+            sent += 1;
+        }
+        assert!(!is_used(&site.gateway, id), "{path}");
+    }
+}
+
+/// What another server at the address says concerns that one only.
+#[tokio::test]
+async fn notice_of_another_server() {
+    let site = Site::bare().await;
+    let listener = site::listener().await;
+    let addr = listener.local_addr().unwrap();
+    site.serve(listener, "new", false);
+    for id in ["old", "new"] {
+        site.list(id, addr, false, "a", "ready");
+    }
+    site.configure(1, &config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 2)
+        .await;
+    site.shared.set_header("new", "server-leaving", Some("1"));
+    let ctx = &site.gateway.ctx;
+    ctx.servers
+        .pause(&BackendId::from("new"), ctx.now(), Millis(30_000));
+    let call = site.send(request("1", "/once/a")).await;
+    assert_eq!(call.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(is_used(&site.gateway, "old") && !is_used(&site.gateway, "new"));
+}
