--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -21,6 +21,21 @@
     xxh3_64_with_seed(candidate.as_bytes(), stable(key.as_bytes()))
 }
 
+/// Hash of a sequence of fields that is the same on every host, and for which nobody can find a second sequence: the
+/// first 64 bits of SHA-256 (FIPS 180-4) over each field's length and bytes.
+pub fn fingerprint(fields: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for field in fields {
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+    let digest = hasher.finalize();
+    digest
+        .iter()
+        .take(8)
+        .fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
+
 /// Digest of a bearer key, which configuration and settings hold instead of the key.
 ///
 /// SHA-256 (FIPS 180-4), written as 64 lowercase hexadecimal digits.
--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -37,7 +37,7 @@
 }
 
 /// Runs a call, with retries at other servers; returns the response for the caller.
-pub async fn run(ctx: &Arc<Context>, job: &Job) -> Response<Body> {
+pub async fn run(ctx: &Arc<Context>, job: &Arc<Job>) -> Response<Body> {
     let mut history = SendHistory::default();
     let mut avoid: Vec<BackendId> = Vec::new();
     loop {
@@ -58,6 +58,7 @@
             }
         };
         let time_left = job.time_left(ctx.now()).duration();
+        let is_indirect = ctx.servers.is_indirect(&lease.id);
         let exchange = exchange(ctx, job, &lease);
         let result = tokio::select! {
             biased;
@@ -78,6 +79,9 @@
         };
         let server = lease.id.clone();
         drop(lease);
+        if outcome == Outcome::Broken {
+            job.spawn_crash_check(ctx, &server, is_indirect);
+        }
         let action = job.next_action(ctx, &mut history, outcome).await;
         tracing::debug!(id = %job.call.id, %server, %outcome, next = %action, "call attempt ended");
         match (action, answer) {
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 use crate::link::Link;
+use crate::tunnel::{self, TunnelError};
 use crate::{paths, polling};
 
 /// A server that processes a prompt and has sent nothing for this time is probed.
@@ -123,6 +124,31 @@
     }
 }
 
+/// Whether a server refuses connections, so that its process has ended; `false` if this host cannot tell.
+///
+/// `is_indirect` tells whether to look through another host, as this one's own path had failed before.
+pub async fn has_ended(ctx: &Arc<Context>, id: &BackendId, is_indirect: bool) -> bool {
+    let Some(addr) = ctx.servers.addr(id) else {
+        return false;
+    };
+    if is_indirect {
+        let opened = tunnel::open(ctx, id, "ended").await;
+        return opened.is_err_and(|e| e == TunnelError::Unreachable);
+    }
+    ctx.metrics.count_connection("ended");
+    // The result says nothing of this host's path, which the request has just used.
+    match Link::open(addr, PROBE_TIMEOUT).await {
+        Ok(link) => {
+            ctx.servers.keep_idle(id, link, ctx.now(), None);
+            false
+        }
+        Err(error) => {
+            ctx.metrics.count_failed_connection("ended");
+            error.kind() == std::io::ErrorKind::ConnectionRefused
+        }
+    }
+}
+
 /// Adopts the server `new`, which answered at the address of `old`, as a server of the same service.
 ///
 /// Only while the registry is unavailable, and only if the service of `new` is certain: it is an engine, and
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::context::Context;
+use crate::liveness;
 use crate::reply::Body;
 use crate::send::Job;
 use crate::store::{CallError, Store};
@@ -84,6 +85,25 @@
         )
     }
 
+    /// Finds out in the background whether a server that broke the connection with this request has ended.
+    ///
+    /// `is_indirect` as for [`liveness::has_ended`].
+    pub fn spawn_crash_check(
+        self: &Arc<Self>,
+        ctx: &Arc<Context>,
+        server: &BackendId,
+        is_indirect: bool,
+    ) {
+        let (ctx, job, server) = (Arc::clone(ctx), Arc::clone(self), server.clone());
+        tokio::spawn(async move {
+            let has_ended = liveness::has_ended(&ctx, &server, is_indirect).await;
+            tracing::info!(
+                id = %job.call.id, %server, has_ended, request = format!("{:016x}", job.fingerprint()),
+                "connection broken with a request"
+            );
+        });
+    }
+
     /// Records that a server ended as it began to answer this request.
     pub fn record_crash(&self, ctx: &Context, server: &BackendId) {
         let parts = &self.call.shared_parts;
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -2,8 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
+use base::hash::fingerprint;
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -51,6 +52,8 @@
     pub deadline: Millis,
     /// Counts the request as in flight until its response is complete.
     pub guard: InFlight,
+    /// The [`Job::fingerprint`] once it has been asked for.
+    pub hash: OnceLock<u64>,
 }
 
 /// Additions to a send that only streams have.
@@ -76,6 +79,22 @@
 }
 
 impl Job {
+    /// Hash of what makes two requests equal to a server: method, host, path, query, workspace and body.
+    pub fn fingerprint(&self) -> u64 {
+        let workspace = self.plan.workspace.as_ref().map(|w| w.name.as_str());
+        let target = self.uri.path_and_query().map(|t| t.as_str());
+        let fields = [
+            self.method.as_str(),
+            &self.call.host,
+            target.unwrap_or_default(),
+            workspace.unwrap_or_default(),
+        ];
+        let [method, host, target, workspace] = fields.map(str::as_bytes);
+        *self
+            .hash
+            .get_or_init(|| fingerprint(&[method, host, target, workspace, &self.body]))
+    }
+
     /// Time left until the deadline; 0 once it has passed.
     pub fn time_left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -1,7 +1,7 @@
 //! HTTP server for callers: reads each request, routes it and answers it.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use base::prelude::*;
@@ -113,6 +113,7 @@
                         headers,
                         body: body.to_bytes(),
                         guard,
+                        hash: OnceLock::new(),
                     };
                     ctx.record_request(&job);
                     run(&ctx, job).await
@@ -148,8 +149,9 @@
             STOPPING_RETRY_MS,
         );
     }
+    let job = Arc::new(job);
     if is_stream {
-        streams::run(Arc::clone(ctx), Arc::new(job)).await
+        streams::run(Arc::clone(ctx), job).await
     } else {
         calls::run(ctx, &job).await
     }
