--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use platform::response::{self, Head};
-use relay::{Action, Outcome, SendHistory};
+use relay::{Action, Outcome, SendHistory, Suspicion};
 use thiserror::Error;
 
 use crate::context::{AnswerBytes, Context};
@@ -39,8 +39,15 @@
 /// Runs a call, with retries at other servers; returns the response for the caller.
 pub async fn run(ctx: &Arc<Context>, job: &Arc<Job>) -> Response<Body> {
     let mut history = SendHistory::default();
+    let mut suspicion = Suspicion::default();
     let mut avoid: Vec<BackendId> = Vec::new();
     loop {
+        if let Err(left) = job.until_admitted(ctx).await {
+            return match history.abandon() {
+                Action::Refuse => job.refuse_quarantined(ctx, left),
+                action => job.answer_failure(ctx, action, "quarantined", &FAILURE_TEXTS),
+            };
+        }
         let request = PlacementRequest {
             service: job.plan.service.as_str(),
             load: Load {
@@ -79,10 +86,14 @@
         };
         let server = lease.id.clone();
         drop(lease);
-        if outcome == Outcome::Broken {
-            job.spawn_crash_check(ctx, &server, is_indirect);
+        if answer.is_some() {
+            job.record_run(ctx);
+        } else if outcome == Outcome::Broken && job.check_crash(ctx, &server, is_indirect).await {
+            suspicion.record_lost(true);
         }
-        let action = job.next_action(ctx, &mut history, outcome).await;
+        let action = job
+            .next_action(ctx, &mut history, &suspicion, outcome)
+            .await;
         tracing::debug!(id = %job.call.id, %server, %outcome, next = %action, "call attempt ended");
         match (action, answer) {
             (Action::Deliver, Some(answer)) => return deliver(ctx, job, answer, &server),
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -8,7 +8,7 @@
 use base::sorted::Sorted;
 use membership::TunnelHosts;
 use membership::gossip::Gossip;
-use relay::{Budget, Quarantine, SendHistory};
+use relay::{Budget, Quarantine, SendHistory, Subject};
 use routing::Snapshot;
 use timer::Timer;
 use tokio::sync::Notify;
@@ -63,7 +63,9 @@
     /// The hosts that are passed over when a tunnel is opened.
     tunnels: Mutex<TunnelHosts>,
     /// Prompts that end the servers which begin to answer them.
-    quarantine: Mutex<Quarantine>,
+    prompts: Mutex<Quarantine>,
+    /// Requests that end the servers which begin to run them.
+    requests: Mutex<Quarantine>,
     /// Wakes the task that writes the quarantines to the store.
     pub quarantine_changed: Notify,
     /// Time limits set by the deployment.
@@ -99,7 +101,8 @@
             wake_gossip: Notify::new(),
             paths_lost: Notify::new(),
             tunnels: Mutex::default(),
-            quarantine: Mutex::default(),
+            prompts: Mutex::new(Quarantine::new(Subject::Prompts)),
+            requests: Mutex::new(Quarantine::new(Subject::Requests)),
             quarantine_changed: Notify::new(),
             limits,
             initial_budget: budget,
@@ -190,11 +193,13 @@
         self.tunnels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the quarantined prompts; must not be locked while the exchange is locked.
-    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Locks the quarantine of prompts or requests; must not be locked while the exchange is locked.
+    pub fn quarantine(&self, subject: Subject) -> MutexGuard<'_, Quarantine> {
+        let quarantine = match subject {
+            Subject::Prompts => &self.prompts,
+            Subject::Requests => &self.requests,
+        };
+        quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that a connection broke or stalled while a request was on it: the host of a tunnel may have failed.
--- a/crates/gooseberry-gateway/src/gossip.rs
+++ b/crates/gooseberry-gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 use base::hash::short_hash;
 use base::prelude::*;
 use membership::gossip::{Body, Message, Usage};
+use relay::Subject;
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
@@ -43,7 +44,9 @@
         if let Some(hosts) = hosts {
             ctx.servers.set_hosts(hosts);
         }
-        let evidence = ctx.quarantine().evidence(now, relays);
+        let evidence = |subject| ctx.quarantine(subject).evidence(now, relays);
+        let prompts = evidence(Subject::Prompts).map(Body::Prompts);
+        let requests = evidence(Subject::Requests).map(Body::Requests);
         let limits = ctx.servers.announced_limits(now, relays);
         let leaving = ctx.servers.announced_leaving(now, relays);
         let limits = limits.chunks(MAX_LIMITS).map(|l| Body::Limits(l.to_vec()));
@@ -54,7 +57,7 @@
             let mut messages = gossip.digest(now, usage);
             messages.extend(gossip.centre_sums(now));
             messages.extend(gossip.failed_servers(now));
-            let news = evidence.into_iter().map(Body::Prompts);
+            let news = prompts.into_iter().chain(requests);
             for body in news.chain(limits).chain(leaving) {
                 messages.extend(gossip.news(now, body));
             }
@@ -162,8 +165,12 @@
     if received.notify_hubs {
         ctx.wake_gossip.notify_one();
     }
+    let merge = |subject, evidence| ctx.quarantine(subject).merge(now, evidence);
     match &message.body {
-        Body::Prompts(evidence) if ctx.quarantine().merge(now, evidence) => {
+        Body::Prompts(evidence) if merge(Subject::Prompts, evidence) => {
+            quarantine::announce(ctx);
+        }
+        Body::Requests(evidence) if merge(Subject::Requests, evidence) => {
             quarantine::announce(ctx);
         }
         Body::Limits(limits) if ctx.servers.merge_limits(now, limits) => {
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantined prompts at the gateway: which requests are refused for them, and their rows in the store.
+//! Quarantined prompts and requests at the gateway: which requests are refused for them, and their rows in the store.
 //!
 //! Hosts tell each other by gossip messages. The store keeps the quarantines for hosts that start, and for those
 //! that hear no other host.
@@ -10,8 +10,10 @@
 use base::prelude::*;
 use hyper::Response;
 use platform::store::Table;
-use relay::quarantine::{Admission, Fatal};
+use relay::quarantine::{Admission, Fatal, Subject};
 use serde::{Deserialize, Serialize};
+use strum::VariantArray;
+use tokio::task::JoinHandle;
 
 use crate::context::Context;
 use crate::liveness;
@@ -34,12 +36,18 @@
 /// Longest wait for the outcome of other requests.
 const MAX_WAIT: Millis = Millis(4_000);
 
+/// Longest wait for the check whether a server has ended, before the request is sent to another one.
+const CRASH_CHECK_WAIT: Millis = Millis(100);
+
 /// When to retry a request that has waited in vain.
 const WAIT_RETRY: Millis = Millis(1_000);
 
 /// The value of a quarantine's row.
 #[derive(Debug, Serialize, Deserialize)]
 struct Entry {
+    /// The [`Subject`]; absent in rows of earlier versions, which know prompts only.
+    #[serde(default)]
+    subject: String,
     /// Hashes of the parts in hexadecimal.
     parts: Vec<String>,
     /// Unix time of the last crash, in milliseconds.
@@ -53,17 +61,31 @@
     ///
     /// # Errors
     ///
-    /// Its prompt is quarantined; the time after which the caller may try again.
+    /// It is quarantined, or its prompt is; the time after which the caller may try again.
     pub async fn until_admitted(&self, ctx: &Context) -> Result<(), Millis> {
+        // Requests are not hashed while none is quarantined.
+        if !ctx.quarantine(Subject::Requests).fatal().is_empty() {
+            let key = [self.fingerprint()];
+            self.until_admitted_by(ctx, Subject::Requests, &key).await?;
+        }
         let parts = &self.call.shared_parts;
         if parts.is_empty() {
             return Ok(());
         }
-        let may_try = |parts: &[u64]| ctx.gossip().is_owner(&row_key(parts));
+        self.until_admitted_by(ctx, Subject::Prompts, parts).await
+    }
+
+    async fn until_admitted_by(
+        &self,
+        ctx: &Context,
+        subject: Subject,
+        parts: &[u64],
+    ) -> Result<(), Millis> {
+        let may_try = |parts: &[u64]| ctx.gossip().is_owner(&row_key(subject, parts));
         let end = ctx.now() + MAX_WAIT;
         loop {
             let now = ctx.now();
-            let admission = ctx.quarantine().check(now, parts, may_try);
+            let admission = ctx.quarantine(subject).check(now, parts, may_try);
             match admission {
                 Admission::Allowed => return Ok(()),
                 Admission::Refused(left) => return Err(left),
@@ -80,28 +102,67 @@
         self.refuse(
             ctx,
             "quarantined",
-            "prompts with these parts have ended the servers that began to answer them; the request has not run",
+            "such requests have ended the servers that began to run them; the request has not run",
             left.0,
         )
     }
 
-    /// Finds out in the background whether a server that broke the connection with this request has ended.
+    /// Finds out whether a server that broke the connection with this request has ended, and records that; returns
+    /// whether it has, as far as is known within [`CRASH_CHECK_WAIT`].
     ///
     /// `is_indirect` as for [`liveness::has_ended`].
+    pub async fn check_crash(
+        self: &Arc<Self>,
+        ctx: &Arc<Context>,
+        server: &BackendId,
+        is_indirect: bool,
+    ) -> bool {
+        let check = self.spawn_crash_check(ctx, server, is_indirect);
+        let result = tokio::time::timeout(CRASH_CHECK_WAIT.duration(), check).await;
+        matches!(result, Ok(Ok(true)))
+    }
+
+    /// As [`Job::check_crash`], in the background.
     pub fn spawn_crash_check(
         self: &Arc<Self>,
         ctx: &Arc<Context>,
         server: &BackendId,
         is_indirect: bool,
-    ) {
+    ) -> JoinHandle<bool> {
         let (ctx, job, server) = (Arc::clone(ctx), Arc::clone(self), server.clone());
         tokio::spawn(async move {
             let has_ended = liveness::has_ended(&ctx, &server, is_indirect).await;
+            let key = job.fingerprint();
+            let is_news = {
+                let (now, mut quarantine) = (ctx.now(), ctx.quarantine(Subject::Requests));
+                // Whatever became of the server, a trial without an answer is not to be repeated at once.
+                let counts = has_ended || quarantine.is_on_trial(now, &[key]);
+                counts && quarantine.record_crash(now, short_hash(server.as_str()), &[key])
+            };
             tracing::info!(
-                id = %job.call.id, %server, has_ended, request = format!("{:016x}", job.fingerprint()),
+                id = %job.call.id, %server, has_ended, is_news, request = format!("{key:016x}"),
                 "connection broken with a request"
             );
-        });
+            if is_news {
+                announce(&ctx);
+            }
+            has_ended
+        })
+    }
+
+    /// Records that a server has run this request and goes on.
+    pub fn record_run(&self, ctx: &Context) {
+        // Answers count against crashes only, so that without one nothing is hashed.
+        if ctx.quarantine(Subject::Requests).is_empty() {
+            return;
+        }
+        let key = self.fingerprint();
+        if ctx
+            .quarantine(Subject::Requests)
+            .record_sound(ctx.now(), &[key])
+        {
+            announce(ctx);
+        }
     }
 
     /// Records that a server ended as it began to answer this request.
@@ -111,7 +172,9 @@
             return;
         }
         let server_hash = short_hash(server.as_str());
-        let is_news = ctx.quarantine().record_crash(ctx.now(), server_hash, parts);
+        let is_news = ctx
+            .quarantine(Subject::Prompts)
+            .record_crash(ctx.now(), server_hash, parts);
         tracing::info!(id = %self.call.id, %server, is_news, "server ended as it began to answer");
         if is_news {
             announce(ctx);
@@ -121,7 +184,11 @@
     /// Records that an answer to this request got past its beginning.
     pub fn record_sound(&self, ctx: &Context) {
         let parts = &self.call.shared_parts;
-        if !parts.is_empty() && ctx.quarantine().record_sound(ctx.now(), parts) {
+        if !parts.is_empty()
+            && ctx
+                .quarantine(Subject::Prompts)
+                .record_sound(ctx.now(), parts)
+        {
             announce(ctx);
         }
     }
@@ -129,9 +196,10 @@
 
 /// Tells the other hosts and the store about a change.
 pub fn announce(ctx: &Context) {
-    ctx.metrics
-        .quarantines
-        .set(ctx.quarantine().fatal().len() as i64);
+    let counts = Subject::VARIANTS
+        .iter()
+        .map(|subject| ctx.quarantine(*subject).fatal().len() as i64);
+    ctx.metrics.quarantines.set(counts.sum());
     ctx.wake_gossip.notify_one();
     ctx.quarantine_changed.notify_one();
 }
@@ -153,10 +221,14 @@
         let latest = ctx.store_era();
         if era != latest && ctx.gossip().is_hub() {
             // A copy that the store has come back from may lack them.
-            ctx.quarantine().rewrite();
+            for subject in Subject::VARIANTS {
+                ctx.quarantine(*subject).rewrite();
+            }
         }
         era = latest;
-        collect_writes(&ctx, &mut writes);
+        for subject in Subject::VARIANTS {
+            collect_writes(&ctx, *subject, &mut writes);
+        }
         while let Some((key, value)) = writes.first() {
             let written = store
                 .write(Table::Quarantine, key, value.as_deref(), TIMEOUT)
@@ -175,28 +247,29 @@
 }
 
 /// Adds the rows to write or to remove, as key and value, to those that wait.
-fn collect_writes(ctx: &Context, writes: &mut Vec<(String, Option<Vec<u8>>)>) {
+fn collect_writes(ctx: &Context, subject: Subject, writes: &mut Vec<(String, Option<Vec<u8>>)>) {
     let (lifted, unwritten) = {
-        let mut quarantine = ctx.quarantine();
+        let mut quarantine = ctx.quarantine(subject);
         (quarantine.take_lifted(), quarantine.take_unwritten())
     };
     for parts in lifted {
-        tracing::info!(parts = ?parts, "quarantine lifted: a prompt with these parts was answered");
-        writes.push((row_key(&parts), None));
+        tracing::info!(%subject, parts = ?parts, "quarantine lifted: a request with these parts was answered");
+        writes.push((row_key(subject, &parts), None));
     }
     for fatal in unwritten {
         tracing::warn!(
-            parts = ?fatal.parts, hold_s = fatal.hold.0 / 1_000,
-            "prompts quarantined: servers end as they begin to answer them"
+            %subject, parts = ?fatal.parts, hold_s = fatal.hold.0 / 1_000,
+            "quarantined: servers end as they begin to run or to answer such requests"
         );
-        writes.push((row_key(&fatal.parts), Some(encode(ctx.now(), &fatal))));
+        let value = encode(ctx.now(), subject, &fatal);
+        writes.push((row_key(subject, &fatal.parts), Some(value)));
     }
 }
 
 async fn read(ctx: &Context, store: &mut Store) -> Result<(), CallError> {
     for row in store.table(Table::Quarantine, TIMEOUT).await?.rows {
         match decode(ctx.now(), row.value.as_deref().unwrap_or_default()) {
-            Some((parts, at, hold)) => ctx.quarantine().restore(parts, at, hold),
+            Some((subject, parts, at, hold)) => ctx.quarantine(subject).restore(parts, at, hold),
             None => tracing::warn!(key = %row.key, "malformed quarantine row skipped"),
         }
     }
@@ -204,13 +277,18 @@
 }
 
 /// The key of the row for these parts, which also names the matter that one host tries again.
-fn row_key(parts: &[u64]) -> String {
+fn row_key(subject: Subject, parts: &[u64]) -> String {
     let bytes: Vec<u8> = parts.iter().flat_map(|p| p.to_be_bytes()).collect();
-    format!("{:016x}", stable(&bytes))
+    let hash = stable(&bytes);
+    match subject {
+        Subject::Prompts => format!("{hash:016x}"),
+        Subject::Requests => format!("request-{hash:016x}"),
+    }
 }
 
-fn encode(now: Millis, fatal: &Fatal) -> Vec<u8> {
+fn encode(now: Millis, subject: Subject, fatal: &Fatal) -> Vec<u8> {
     let entry = Entry {
+        subject: subject.to_string(),
         parts: fatal.parts.iter().map(|p| format!("{p:016x}")).collect(),
         crashed_unix_ms: unix_ms().saturating_sub(now.since(fatal.at).0),
         hold_ms: fatal.hold.0,
@@ -219,12 +297,18 @@
     serde_json::to_vec(&entry).unwrap_or_default()
 }
 
-/// The parts of a row, the time of the last crash and the hold time; `None` if the value is malformed.
-fn decode(now: Millis, value: &[u8]) -> Option<(Vec<u64>, Millis, Millis)> {
+/// What a row is about, its parts, the time of the last crash and the hold time; `None` if the value is malformed.
+fn decode(now: Millis, value: &[u8]) -> Option<(Subject, Vec<u64>, Millis, Millis)> {
     let entry: Entry = serde_json::from_slice(value).ok()?;
+    let subject = if entry.subject.is_empty() {
+        Subject::Prompts
+    } else {
+        entry.subject.parse().ok()?
+    };
     let parts = entry.parts.iter().map(|p| u64::from_str_radix(p, 16).ok());
     let age = unix_ms().saturating_sub(entry.crashed_unix_ms);
     Some((
+        subject,
         parts.collect::<Option<_>>()?,
         now - Millis(age),
         Millis(entry.hold_ms),
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use platform::request::{self, AttemptHeaders, KvBackup};
 use platform::response::{self, Head};
-use relay::{Action, Outcome, SendHistory};
+use relay::{Action, Outcome, SendHistory, Suspicion};
 use routing::{Call, Plan};
 
 use crate::context::{Context, InFlight};
@@ -100,15 +100,19 @@
         self.deadline.since(now)
     }
 
-    /// The next step after a send that ended with `outcome`; waits for the retry budget if a retry is needed.
+    /// The next step after a send that ended with `outcome`; waits for the retry budget if a retry is needed, and gives
+    /// up a request that is taken for the cause of its servers' ends.
     pub async fn next_action(
         &self,
         ctx: &Context,
         history: &mut SendHistory,
+        suspicion: &Suspicion,
         outcome: Outcome,
     ) -> Action {
         let route = &self.plan.route;
         match history.record(outcome, route.kind, route.attempts) {
+            Action::Deliver => Action::Deliver,
+            _ if suspicion.is_convincing() => history.abandon(),
             Action::Retry if ctx.acquire_retry(self).await => Action::Resend,
             Action::Retry => history.without_retry(outcome),
             action => action,
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -152,16 +152,8 @@
 
     /// The next step after an attempt that ended with `outcome`; may wait for the retry budget.
     async fn next_action(&mut self, outcome: Outcome) -> Action {
-        if self.suspicion.is_convincing() {
-            self.history.record(
-                outcome,
-                self.job.plan.route.kind,
-                self.job.plan.route.attempts,
-            );
-            return self.history.abandon();
-        }
         self.job
-            .next_action(&self.ctx, &mut self.history, outcome)
+            .next_action(&self.ctx, &mut self.history, &self.suspicion, outcome)
             .await
     }
 
@@ -202,6 +194,7 @@
             left_ms = job.time_left(now).0, version = job.plan.version.0, "stream placed"
         );
         let id = lease.id.clone();
+        let is_indirect = ctx.servers.is_indirect(&id);
         let left = job.time_left(now).duration();
         let mut has_head = false;
         let result = tokio::select! {
@@ -217,7 +210,7 @@
                     id = %job.call.id, server = %id, %outcome, has_head, parts = ?job.call.shared_parts,
                     "stream attempt ended before its first event"
                 );
-                self.record_lost(&id, outcome, has_head);
+                self.record_lost(&id, outcome, has_head, is_indirect);
                 self.avoid.push(id);
                 return Err(StartError::Ended(outcome));
             }
@@ -241,8 +234,18 @@
         Ok(parts.headers)
     }
 
-    /// Records a server that failed with an attempt, if the request may be the cause.
-    fn record_lost(&mut self, server: &BackendId, outcome: Outcome, has_begun: bool) {
+    /// Records a server that failed with an attempt, reached through another host or not, if the request may be the
+    /// cause.
+    fn record_lost(
+        &mut self,
+        server: &BackendId,
+        outcome: Outcome,
+        has_begun: bool,
+        is_indirect: bool,
+    ) {
+        if outcome == Outcome::Broken && !self.suspicion.is_cleared() {
+            self.job.spawn_crash_check(&self.ctx, server, is_indirect);
+        }
         let is_lost = match outcome {
             Outcome::Broken => true,
             Outcome::TimedOut => self.job.time_left(self.ctx.now()) > Millis(0),
@@ -313,6 +316,7 @@
                     if attempt.events == PROVING_EVENTS {
                         self.suspicion.clear();
                         self.job.record_sound(&self.ctx);
+                        self.job.record_run(&self.ctx);
                     }
                     self.ctx.servers.record_activity(&attempt.lease.id, self.ctx.now());
                     Ok(event)
@@ -383,7 +387,8 @@
             silence_ms = now.since(self.progress.idle_since()).0, parts = ?self.job.call.shared_parts,
             "stream attempt failed"
         );
-        self.record_lost(&attempt.lease.id, outcome, true);
+        let is_indirect = attempt.link.tunnel.is_some();
+        self.record_lost(&attempt.lease.id, outcome, true, is_indirect);
         self.avoid.push(attempt.lease.id.clone());
         self.backup = attempt.backup_task.and_then(BackupTask::into_backup);
     }
--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -352,7 +352,9 @@
     let quirk = quirk.filter(|q| is_first || !is_first_only(*q));
     sleep(Duration::from_millis(worker.settings.work_ms)).await;
     worker.faults.inject_delay().await;
-    if worker.settings.engine && is_fatal {
+    if worker.settings.engine && quirk == Some(Quirk::Crash) {
+        respond(running, &body, quirk).await
+    } else if worker.settings.engine && is_fatal {
         begin_and_fail(&running)
     } else if worker.settings.engine {
         stream(running, &body, from, quirk)
@@ -377,7 +379,7 @@
             .any(|(backup, of)| *backup == worker.addr && of == id)
 }
 
-/// Answers a call to a plain service.
+/// Answers a call to a plain service, or ends the server.
 async fn respond(mut running: InFlight, body: &Bytes, quirk: Option<Quirk>) -> Response {
     if quirk == Some(Quirk::Hang) {
         std::future::pending::<()>().await;
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -479,7 +479,7 @@
                 }
             }
             // Applied by `relay::Quarantine` and the gateway's fleet.
-            Body::Prompts(_) | Body::Limits(_) | Body::Leaving(_) => {}
+            Body::Prompts(_) | Body::Requests(_) | Body::Limits(_) | Body::Leaving(_) => {}
         }
         received.failed.clone_from(&message.failed);
         received
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -139,4 +139,6 @@
     Limits(Vec<ServerLimit>),
     /// As [`Body::Prompts`]: servers that have said that they are leaving.
     Leaving(Vec<LeavingServer>),
+    /// As [`Body::Prompts`]: whole requests, whose hash is their only part.
+    Requests(PromptEvidence),
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,5 +13,5 @@
 pub use events::{Event, SplitError, Splitter};
 pub use outcome::{Action, Outcome, SendHistory};
 pub use progress::{EventAction, Progress};
-pub use quarantine::{Admission, Quarantine};
+pub use quarantine::{Admission, Quarantine, Subject};
 pub use suspicion::Suspicion;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -13,9 +13,12 @@
 //!
 //! A quarantine ends by a trial: once its hold time has passed, one host sends one request.
 
+use std::cmp::Reverse;
+
 use base::prelude::*;
 use base::sorted::{Sorted, distinct};
 use membership::gossip::{Announcement, CrashReport, FatalPrompt, PromptEvidence, SoundPart};
+use strum::{Display, EnumString, IntoStaticStr, VariantArray};
 
 /// Number of crashes from which a part is quarantined.
 const LIMIT: usize = 3;
@@ -23,11 +26,7 @@
 /// [`LIMIT`] for a part that was in a sound answer shortly before the first of the crashes.
 const PROVEN_LIMIT: usize = 5;
 
-/// Shortest time between the first and the last of the crashes; servers that end at the same moment have a common
-/// cause.
-const MIN_SPREAD: Millis = Millis(400);
-
-/// [`MIN_SPREAD`] for a part that was in a sound answer shortly before the first of the crashes.
+/// [`Policy::min_spread`] for a part that was in a sound answer shortly before the first of the crashes.
 const PROVEN_SPREAD: Millis = Millis(2_000);
 
 /// How long a sound answer speaks for its parts.
@@ -39,9 +38,6 @@
 /// Reports of one server within this time are of one crash.
 const SAME_CRASH: Millis = Millis(1_000);
 
-/// Hold time of a quarantine; doubles with each failed trial.
-const FIRST_HOLD: Millis = Millis(900_000);
-
 /// Longest hold time of a quarantine.
 const MAX_HOLD: Millis = Millis(86_400_000);
 
@@ -60,9 +56,6 @@
 /// Interval at which quarantines are included in messages without news.
 const REPEAT_INTERVAL: Millis = Millis(2_000);
 
-/// Maximum number of crash reports that are held.
-const MAX_CRASHES: usize = 64;
-
 /// Maximum number of parts held that were in sound answers.
 const MAX_SOUND: usize = 4_096;
 
@@ -75,6 +68,60 @@
 /// Maximum number of parts over all entries of each list of a message, so that it fits a datagram.
 const MAX_MESSAGE_PARTS: usize = 24;
 
+/// What is quarantined.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantArray,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Subject {
+    /// Prompts, by the parts that they share with others.
+    #[default]
+    Prompts,
+    /// Whole requests, by their hash.
+    Requests,
+}
+
+/// What differs between the subjects.
+#[derive(Clone, Copy, Debug)]
+struct Policy {
+    /// Shortest time between the first and the last of the crashes; servers that end at the same moment have a common
+    /// cause.
+    min_spread: Millis,
+    /// Hold time of a quarantine; doubles with each failed trial.
+    first_hold: Millis,
+    /// Maximum number of crash reports that are held.
+    max_crashes: usize,
+}
+
+impl Subject {
+    fn policy(self) -> Policy {
+        match self {
+            Self::Prompts => Policy {
+                min_spread: Millis(400),
+                first_hold: Millis(900_000),
+                max_crashes: 64,
+            },
+            // A request that is in several ends by chance is soon in an answer, unless it is refused.
+            Self::Requests => Policy {
+                min_spread: Millis(100),
+                first_hold: Millis(30_000),
+                max_crashes: 256,
+            },
+        }
+    }
+}
+
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -95,6 +142,8 @@
     parts: Vec<u64>,
     /// Whether this host has seen it.
     is_own: bool,
+    /// Number of messages in which it was told to other hosts.
+    told: u32,
 }
 
 /// Parts that together end servers.
@@ -119,9 +168,10 @@
     announcement: Announcement,
 }
 
-/// All that a host knows of prompts that end servers.
+/// All that a host knows of prompts, or of requests, that end servers.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
+    subject: Subject,
     crashes: Vec<Crash>,
     fatal: Vec<Fatal>,
     sound: Sorted<u64, Sound>,
@@ -131,6 +181,25 @@
 }
 
 impl Quarantine {
+    /// A quarantine without evidence.
+    pub fn new(subject: Subject) -> Self {
+        Self {
+            subject,
+            ..Self::default()
+        }
+    }
+
+    /// Whether there is neither a crash report nor a quarantine.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.fatal.is_empty()
+    }
+
+    /// Whether a request with these parts is a trial that is running.
+    pub fn is_on_trial(&self, now: Millis, parts: &[u64]) -> bool {
+        let mut fatal = self.fatal.iter().filter(|f| f.applies_to(parts));
+        fatal.any(|f| f.is_tried(now, TRIAL_TIMEOUT))
+    }
+
     /// Whether a request with these shared parts, in ascending order, may be sent now.
     ///
     /// `may_try` tells whether this host is the one that tries a quarantined prompt again.
@@ -169,6 +238,7 @@
             at: now,
             parts: parts.iter().take(MAX_PARTS).copied().collect(),
             is_own: true,
+            told: 0,
         };
         let is_new = self.add_crash(now, crash);
         self.judge(now);
@@ -194,17 +264,7 @@
 
     /// What to tell other hosts now; a host that passes messages on (`is_hub`) tells what it has heard as well.
     pub fn evidence(&mut self, now: Millis, is_hub: bool) -> Option<PromptEvidence> {
-        let is_recent = |c: &&Crash| now.since(c.at) < ANNOUNCE_TTL && (c.is_own || is_hub);
-        let mut fits = room_for(MAX_MESSAGE_PARTS);
-        let crashes = self.crashes.iter().rev().filter(is_recent);
-        let crashes: Vec<CrashReport> = crashes
-            .take_while(|c| fits(c.parts.len()))
-            .map(|c| CrashReport {
-                server: c.server,
-                age: age(now, c.at),
-                parts: c.parts.clone(),
-            })
-            .collect();
+        let crashes = self.crash_reports(now, is_hub);
         let is_due = |s: &Sound| s.announcement.is_due(now, is_hub);
         let sound = self.sound.iter().filter(|(_, s)| is_due(s));
         let sound: Vec<SoundPart> = sound
@@ -238,6 +298,25 @@
         })
     }
 
+    /// Recent crashes, as many as fit a message; those that were told least often come first, and the latest of these.
+    fn crash_reports(&mut self, now: Millis, is_hub: bool) -> Vec<CrashReport> {
+        let is_recent = |c: &&mut Crash| now.since(c.at) < ANNOUNCE_TTL && (c.is_own || is_hub);
+        let mut recent: Vec<&mut Crash> = self.crashes.iter_mut().filter(is_recent).collect();
+        recent.sort_by_key(|c| (c.told, Reverse(c.at)));
+        let mut fits = room_for(MAX_MESSAGE_PARTS);
+        let reports = recent.into_iter().take_while(|c| fits(c.parts.len()));
+        reports
+            .map(|c| {
+                c.told += 1;
+                CrashReport {
+                    server: c.server,
+                    age: age(now, c.at),
+                    parts: c.parts.clone(),
+                }
+            })
+            .collect()
+    }
+
     /// Applies what another host told; returns whether there was news in it.
     pub fn merge(&mut self, now: Millis, evidence: &PromptEvidence) -> bool {
         let mut is_news = false;
@@ -267,6 +346,7 @@
                 at: now - Millis(u64::from(one.age)),
                 parts,
                 is_own: false,
+                told: 0,
             };
             is_news |= self.add_crash(now, crash);
         }
@@ -357,7 +437,7 @@
             return false;
         }
         self.crashes.push(crash);
-        if self.crashes.len() > MAX_CRASHES {
+        if self.crashes.len() > self.subject.policy().max_crashes {
             self.crashes.remove(0);
         }
         true
@@ -428,7 +508,8 @@
             let at = explained.iter().map(|c| c.at).max().unwrap_or(now);
             let is_own = explained.iter().any(|c| c.is_own);
             // Removes the crashes that it explains, so that the loop ends.
-            if !self.add_fatal(parts, at, FIRST_HOLD, is_own) {
+            let hold = self.subject.policy().first_hold;
+            if !self.add_fatal(parts, at, hold, is_own) {
                 return;
             }
         }
@@ -473,7 +554,7 @@
         let (limit, spread) = if self.is_proven(part) {
             (PROVEN_LIMIT, PROVEN_SPREAD)
         } else {
-            (LIMIT, MIN_SPREAD)
+            (LIMIT, self.subject.policy().min_spread)
         };
         (count >= limit && last.since(first) >= spread).then_some(count)
     }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use membership::gossip::PromptEvidence;
-use relay::quarantine::{Admission, Quarantine};
+use relay::quarantine::{Admission, Quarantine, Subject};
 
 /// Parts of prompts: one that is fatal, a second one, and others that are not.
 const FATAL: u64 = 50;
@@ -269,3 +269,66 @@
     let told: Vec<u64> = evidence.sound.iter().map(|s| s.part).collect();
     assert_eq!(told, [SHARED]);
 }
+
+/// Hold time of a new quarantine of a whole request.
+const REQUEST_HOLD: u64 = 30_000;
+
+/// A quarantine of whole requests in which servers ended under this one at these times.
+fn fatal_request(times: &[u64]) -> Quarantine {
+    let mut quarantine = Quarantine::new(Subject::Requests);
+    for (server, at) in times.iter().enumerate() {
+        quarantine.record_crash(Millis(*at), server as u32, &[FATAL]);
+    }
+    quarantine
+}
+
+/// As in the incident: three servers within a quarter of a second.
+#[test]
+fn request_ends_three_servers() {
+    let mut quarantine = fatal_request(&[5_281, 5_346]);
+    assert!(!is_refused(&mut quarantine, 5_347, &[FATAL]));
+    let mut quarantine = fatal_request(&[5_281, 5_346, 5_500]);
+    assert!(is_refused(&mut quarantine, 5_501, &[FATAL]));
+    assert!(!is_refused(&mut quarantine, 5_501, &[SHARED]));
+}
+
+/// A request that many send is at most servers of a rack that fails.
+#[test]
+fn popular_request_in_a_rack() {
+    let mut quarantine = fatal_request(&[5_000, 5_001, 5_003, 5_060]);
+    assert!(!is_refused(&mut quarantine, 5_100, &[FATAL]));
+    quarantine.record_sound(Millis(5_200), &[FATAL]);
+    quarantine.record_crash(Millis(6_000), 9, &[FATAL]);
+    assert!(!is_refused(&mut quarantine, 6_100, &[FATAL]));
+}
+
+/// A request that is refused cannot be answered, so that it is tried soon, once, and after that seldom.
+#[test]
+fn request_is_tried() {
+    let mut quarantine = fatal_request(&[1_000, 2_000, 3_000]);
+    let due = 3_000 + REQUEST_HOLD;
+    assert!(is_refused(&mut quarantine, due - 1, &[FATAL]));
+    assert!(!is_refused(&mut quarantine, due, &[FATAL]));
+    assert!(quarantine.is_on_trial(Millis(due), &[FATAL]));
+    assert!(is_refused(&mut quarantine, due + 1, &[FATAL]));
+    quarantine.record_sound(Millis(due + 50), &[FATAL]);
+    assert!(quarantine.is_empty());
+    assert!(!is_refused(&mut quarantine, due + 51, &[FATAL]));
+}
+
+/// More servers end at once than one message can tell of; the one to blame may be any of them.
+#[test]
+fn crashes_told_in_turn() {
+    let mut hosts = vec![Quarantine::new(Subject::Requests); 2];
+    for server in 0..100 {
+        hosts[0].record_crash(Millis(1_000), server, &[1_000 + u64::from(server)]);
+    }
+    let mut told = Vec::new();
+    for i in 0..5 {
+        let evidence = hosts[0].evidence(Millis(1_100 + i * 100), false).unwrap();
+        told.extend(evidence.crashes.iter().map(|c| c.server));
+    }
+    told.sort_unstable();
+    told.dedup();
+    assert_eq!(told.len(), 100);
+}
