--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -81,7 +81,10 @@
         subject: Subject,
         parts: &[u64],
     ) -> Result<(), Millis> {
-        let may_try = |parts: &[u64]| ctx.gossip().is_owner(&row_key(subject, parts));
+        let may_try = |parts: &[u64], hosts| {
+            let key = row_key(subject, parts);
+            ctx.gossip().is_among(&key, hosts)
+        };
         let end = ctx.now() + MAX_WAIT;
         loop {
             let now = ctx.now();
@@ -276,7 +279,7 @@
     Ok(())
 }
 
-/// The key of the row for these parts, which also names the matter that one host tries again.
+/// The key of the row for these parts, which also names the matter that a few hosts try again.
 fn row_key(subject: Subject, parts: &[u64]) -> String {
     let bytes: Vec<u8> = parts.iter().flat_map(|p| p.to_be_bytes()).collect();
     let hash = stable(&bytes);
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -371,11 +371,11 @@
         })
     }
 
-    /// Whether this host is the one of all listed ones that acts on the matter `key`.
-    pub fn is_owner(&self, key: &str) -> bool {
+    /// Whether this host is among the first `count` of all listed ones in the order in which they act on the matter `key`.
+    pub fn is_among(&self, key: &str, count: usize) -> bool {
         let own = rendezvous(key, self.host.as_str());
         let others = self.listed.iter().map(|l| rendezvous(key, l.host.as_str()));
-        others.max().is_none_or(|most| most < own)
+        others.filter(|other| *other >= own).count() < count
     }
 
     /// A message with the failed servers for each member of this hub; empty if there is no new one.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -11,7 +11,8 @@
 //! quarantines on all hosts. What several requests share by chance is therefore told from what they fail by, and
 //! a caller can bring a part under suspicion only together with one that does end servers.
 //!
-//! A quarantine ends by a trial: once its hold time has passed, one host sends one request.
+//! A quarantine ends by a trial: once its hold time has passed, one host sends one request, and if no such request
+//! reaches that host, one of more and more hosts.
 
 use std::cmp::Reverse;
 
@@ -50,6 +51,9 @@
 /// When to retry a request that waits for the result of another host's trial.
 const TRIAL_RETRY: Millis = Millis(5_000);
 
+/// Largest number of times that the number of hosts which may try doubles.
+const MAX_DOUBLINGS: u64 = 16;
+
 /// How long crashes and sound parts are included in messages to other hosts.
 const ANNOUNCE_TTL: Millis = Millis(5_000);
 
@@ -202,19 +206,20 @@
 
     /// Whether a request with these shared parts, in ascending order, may be sent now.
     ///
-    /// `may_try` tells whether this host is the one that tries a quarantined prompt again.
+    /// `may_try` tells whether this host is among that many which may try these parts again.
     pub fn check(
         &mut self,
         now: Millis,
         parts: &[u64],
-        may_try: impl Fn(&[u64]) -> bool,
+        may_try: impl Fn(&[u64], usize) -> bool,
     ) -> Admission {
         for fatal in self.fatal.iter().filter(|f| f.applies_to(parts)) {
-            let left = (fatal.at + fatal.hold).since(now);
-            if left > Millis(0) {
-                return Admission::Refused(left);
+            let due = fatal.at + fatal.hold;
+            if now < due {
+                return Admission::Refused(due.since(now));
             }
-            if fatal.is_tried(now, TRIAL_TIMEOUT) || !may_try(&fatal.parts) {
+            let hosts = trying_hosts(now.since(due));
+            if fatal.is_tried(now, TRIAL_TIMEOUT) || !may_try(&fatal.parts, hosts) {
                 return Admission::Refused(TRIAL_RETRY);
             }
         }
@@ -614,6 +619,13 @@
     }
 }
 
+/// Number of hosts that may try a quarantined request which has been due for this time. It doubles with each
+/// [`TRIAL_RETRY`], as a rare request may never reach the first one.
+fn trying_hosts(overdue: Millis) -> usize {
+    let doublings = (overdue.0 / TRIAL_RETRY.0).min(MAX_DOUBLINGS);
+    1 << doublings
+}
+
 /// Whether all of `some` are in `all`; both are in ascending order.
 fn is_subset(some: &[u64], all: &[u64]) -> bool {
     some.iter().all(|p| all.binary_search(p).is_ok())
