--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -57,7 +57,7 @@
 /// How long crashes and sound parts are included in messages to other hosts.
 const ANNOUNCE_TTL: Millis = Millis(5_000);
 
-/// Interval at which quarantines are included in messages without news.
+/// Interval at which quarantines are included in messages while none has changed.
 const REPEAT_INTERVAL: Millis = Millis(2_000);
 
 /// Maximum number of parts held that were in sound answers.
@@ -182,6 +182,10 @@
     /// Parts of quarantines that ended by an answer at this host.
     lifted: Vec<Vec<u64>>,
     last_repeat: Millis,
+    /// Whether a quarantine is new or has changed since the last message.
+    has_news: bool,
+    /// Until when quarantines are therefore included in each message.
+    news_until: Millis,
 }
 
 impl Quarantine {
@@ -279,7 +283,10 @@
                 age: age(now, s.at),
             })
             .collect();
-        let is_due = now.since(self.last_repeat) >= REPEAT_INTERVAL;
+        if std::mem::take(&mut self.has_news) {
+            self.news_until = now + ANNOUNCE_TTL;
+        }
+        let is_due = now < self.news_until || now.since(self.last_repeat) >= REPEAT_INTERVAL;
         if crashes.is_empty() && sound.is_empty() && (self.fatal.is_empty() || !is_due) {
             return None;
         }
@@ -419,7 +426,9 @@
         }
         let mut known = self.fatal.iter_mut();
         if let Some(fatal) = known.find(|f| f.applies_to(&crash.parts)) {
-            return fatal.record_crash(crash.at);
+            let has_failed = fatal.record_crash(crash.at);
+            self.has_news |= has_failed;
+            return has_failed;
         }
         // The parts that it shares with a quarantine, unless all of them were in a sound answer lately.
         let shared = self.fatal.iter_mut().find_map(|f| {
@@ -461,6 +470,7 @@
                 known.at = known.at.max(at);
                 known.hold = known.hold.max(hold);
             }
+            self.has_news |= is_news;
             return is_news;
         }
         let new = Fatal {
@@ -472,6 +482,7 @@
         };
         self.crashes.retain(|c| !new.applies_to(&c.parts));
         self.fatal.push(new);
+        self.has_news = true;
         if self.fatal.len() > MAX_FATAL {
             self.fatal.remove(0);
         }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -333,6 +333,12 @@
     assert_eq!(told.len(), 100);
 }
 
+/// Sends that the target allows later than [`CONTACT`] after the third end.
+const MAX_LATE_SENDS: usize = 3;
+
+/// Time within which hosts hear of each other.
+const CONTACT: u64 = 3_000;
+
 /// Times of the sends of a fatal request to servers, on `hosts` that hear each other each 300 ms and get it in turn
 /// each `interval`; each server ends 80 ms later. `answers_from` is when servers stop ending under it.
 fn sends(hosts: usize, interval: u64, end: u64, answers_from: u64) -> Vec<u64> {
@@ -376,6 +382,22 @@
     sends
 }
 
+#[test]
+fn request_over_many_hosts() {
+    for hosts in [8, 83, 295] {
+        for interval in [20, 200, 2_000] {
+            let sends = sends(hosts, interval, 120_000, u64::MAX);
+            let third_end = sends[2] + 80;
+            let late = sends.iter().filter(|at| **at > third_end + CONTACT);
+            let late = late.count();
+            assert!(
+                late <= MAX_LATE_SENDS,
+                "{hosts} {interval}: {late} {sends:?}"
+            );
+        }
+    }
+}
+
 /// A request that comes seldom reaches the host that is to try it more seldom still.
 #[test]
 fn rare_request_is_tried() {
