--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -39,8 +39,14 @@
 /// Reports of one server within this time are of one crash.
 const SAME_CRASH: Millis = Millis(1_000);
 
+/// Shortest hold time after a failed trial.
+const SECOND_HOLD: Millis = Millis(7_200_000);
+
+/// How many times longer the hold time is after each further failed trial.
+const HOLD_FACTOR: u64 = 8;
+
 /// Longest hold time of a quarantine.
-const MAX_HOLD: Millis = Millis(86_400_000);
+const MAX_HOLD: Millis = Millis(7 * 86_400_000);
 
 /// A trial that has neither failed nor succeeded after this time is repeated.
 const TRIAL_TIMEOUT: Millis = Millis(30_000);
@@ -102,7 +108,7 @@
     /// Shortest time between the first and the last of the crashes; servers that end at the same moment have a common
     /// cause.
     min_spread: Millis,
-    /// Hold time of a quarantine; doubles with each failed trial.
+    /// Hold time of a quarantine until the first trial.
     first_hold: Millis,
     /// Maximum number of crash reports that are held.
     max_crashes: usize,
@@ -614,7 +620,7 @@
     fn record_crash(&mut self, at: Millis) -> bool {
         let has_failed = self.trial.take().is_some() && at.since(self.at) >= self.hold;
         if has_failed {
-            self.hold = Millis(self.hold.0 * 2).min(MAX_HOLD);
+            self.hold = Millis(self.hold.0 * HOLD_FACTOR).clamp(SECOND_HOLD, MAX_HOLD);
             self.is_unwritten = true;
         }
         self.at = self.at.max(at);
