--- a/crates/gooseberry-gateway/tests/fatal_requests.rs
+++ b/crates/gooseberry-gateway/tests/fatal_requests.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use relay::Subject;
+use site::cut::Cut;
 use site::{Site, generation, request, send_to};
 
 /// Servers that may end before such a request is recognised, and sends allowed after that.
@@ -149,3 +150,25 @@
     }
     assert!(other.ctx.quarantine(Subject::Requests).is_empty());
 }
+
+/// A host that reaches the servers through another one only.
+#[tokio::test]
+async fn fatal_call_through_tunnels() {
+    let (site, _other) = site().await;
+    let host = site.cut_host("host-3", &["host-1"]).await;
+    host.cut("p-", Cut::Reset).await;
+    for i in 0..4 {
+        host.try_send(request(&format!("first-{i}"), "/safe/a"))
+            .await;
+    }
+    assert!(host.tunnel_count() > 0);
+    for i in 0..REQUESTS {
+        let answer = host.send(fatal(&format!("bad-{i}"), "/safe/crash")).await;
+        assert_ne!(answer.status, StatusCode::OK);
+        let sound = host.send(request(&format!("good-{i}"), "/safe/a")).await;
+        assert_eq!(sound.status, StatusCode::OK, "{i}: {}", sound.text());
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let runs = site.shared.runs_of_path("/safe/crash");
+    assert!(runs <= MAX_RUNS, "sent to servers {runs} times");
+}
