--- a/crates/gooseberry-bench/src/soak.rs
+++ b/crates/gooseberry-bench/src/soak.rs
@@ -13,6 +13,7 @@
 mod proxy;
 mod site;
 
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use bpaf::Bpaf;
@@ -23,7 +24,7 @@
 use callers::Callers;
 use faults::Fault;
 use judge::Finding;
-use site::{Shape, Site};
+use site::{Programs, Shape, Site};
 
 /// The time without faults before the final requests, all of which must be served.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
@@ -63,6 +64,10 @@
     callers: usize,
     /// Run the seeds that once had a finding, instead of those from `--seed`.
     regressions: bool,
+    /// The folder with the gateway of an earlier version. Every other gateway starts with it, and each restart
+    /// replaces a gateway by one of the other version.
+    #[bpaf(long, argument("FOLDER"))]
+    earlier: Option<PathBuf>,
 }
 
 /// Runs the seeds; returns whether none has a finding.
@@ -93,7 +98,7 @@
 
 /// Runs one seed and returns its findings.
 async fn run_seed(
-    programs: &std::path::Path,
+    programs: &Path,
     options: &Options,
     seed: u64,
 ) -> Result<Vec<Finding>, BenchError> {
@@ -103,6 +108,10 @@
         engines: options.engines,
         plain: (options.engines / 3).max(2),
     };
+    let programs = Programs {
+        current: programs.to_owned(),
+        earlier: options.earlier.clone(),
+    };
     let mut site = Site::start(programs, seed, shape).await?;
     let callers = Callers::start(&site, options.callers, seed);
     let end = tokio::time::Instant::now() + Duration::from_secs(options.seconds);
--- a/crates/gooseberry-bench/src/soak/site.rs
+++ b/crates/gooseberry-bench/src/soak/site.rs
@@ -43,10 +43,21 @@
     pub(crate) plain: usize,
 }
 
+/// Folders of the binaries.
+#[derive(Clone, Debug)]
+pub(crate) struct Programs {
+    /// All programs of this version.
+    pub(crate) current: PathBuf,
+    /// The gateway of an earlier version; `None` to run this one only.
+    pub(crate) earlier: Option<PathBuf>,
+}
+
 /// A gateway and its proxies.
 #[derive(Debug)]
 pub(crate) struct Gateway {
     child: Option<Child>,
+    /// Whether its next process is of the earlier version.
+    is_earlier: bool,
     file: PathBuf,
     /// Address at which the balancer polls whether it accepts connections.
     pub(crate) ready: SocketAddr,
@@ -74,8 +85,7 @@
 /// All processes and proxies of a soak.
 #[derive(Debug)]
 pub(crate) struct Site {
-    /// Folder of the binaries.
-    programs: PathBuf,
+    programs: Programs,
     /// Folder of settings, logs and records of this run.
     run_folder: PathBuf,
     store: Child,
@@ -113,7 +123,7 @@
 impl Site {
     /// Starts all processes and waits until every gateway is ready.
     pub(crate) async fn start(
-        programs: &std::path::Path,
+        programs: Programs,
         seed: u64,
         shape: Shape,
     ) -> Result<Self, BenchError> {
@@ -137,9 +147,14 @@
             views: views.clone(),
         };
         write_settings(&file, &settings)?;
-        let store = Child::start(programs, "gooseberry-standin", &["site-store"], &file)?;
+        let store = Child::start(
+            &programs.current,
+            "gooseberry-standin",
+            &["site-store"],
+            &file,
+        )?;
         let mut site = Self {
-            programs: programs.to_owned(),
+            programs,
             run_folder,
             store,
             store_addr,
@@ -235,6 +250,7 @@
         }
         self.gateways.push(Gateway {
             child: None,
+            is_earlier: i % 2 == 1,
             file,
             ready: settings.listen.ready,
             caller_proxy: Proxy::start(caller_proxy, own).await?,
@@ -244,11 +260,15 @@
         self.spawn_gateway(i)
     }
 
-    /// Starts the process of a gateway.
+    /// Starts the process of a gateway; the next one is of the other version, if there are two.
     fn spawn_gateway(&mut self, i: usize) -> Result<(), BenchError> {
         let gateway = &mut self.gateways[i];
-        let child = Child::start(&self.programs, "gooseberry-gateway", &[], &gateway.file)?;
+        let earlier = self.programs.earlier.as_ref();
+        let folder = earlier.filter(|_| gateway.is_earlier);
+        let folder = folder.unwrap_or(&self.programs.current);
+        let child = Child::start(folder, "gooseberry-gateway", &[], &gateway.file)?;
         gateway.child = Some(child);
+        gateway.is_earlier = !gateway.is_earlier;
         Ok(())
     }
 
@@ -258,7 +278,7 @@
         write_settings(&server.file, &server.settings)?;
         let arguments = ["site-worker"];
         let child = Child::start(
-            &self.programs,
+            &self.programs.current,
             "gooseberry-standin",
             &arguments,
             &server.file,
