--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -48,6 +48,9 @@
     /// The host's priority as a hub; absent in rows of earlier versions.
     #[serde(default)]
     hub_priority: u64,
+    /// Number of kinds of messages that the host understands; absent in rows of earlier versions.
+    #[serde(default)]
+    kinds: u8,
 }
 
 /// Writes this host's row once, then reads the list of hosts until the task is aborted.
@@ -58,6 +61,7 @@
         tunnels: own.tunnels,
         tunnels_h2: own.tunnels,
         hub_priority: own.hub_priority,
+        kinds: own.kinds,
     };
     // Serialising an address and a name to JSON cannot fail.
     let value = serde_json::to_vec(&entry).unwrap_or_default();
@@ -149,5 +153,6 @@
         addr: entry.peers,
         tunnels: entry.tunnels_h2,
         hub_priority: entry.hub_priority,
+        kinds: entry.kinds,
     })
 }
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::rt::TokioIo;
-use membership::gossip::{Gossip, ListedPeer, hub_priority};
+use membership::gossip::{Gossip, KINDS, ListedPeer, hub_priority};
 use platform::store::Table;
 use relay::Budget;
 use settings::gateway::{Gateway as Settings, Listen};
@@ -162,6 +162,7 @@
             addr: peers,
             tunnels: listen.tunnels,
             hub_priority,
+            kinds: KINDS,
         },
     ));
     tasks.spawn(gossip::send_reports(Arc::clone(&ctx), Arc::clone(&socket)));
--- a/crates/gooseberry-gateway/tests/fatal_prompts.rs
+++ b/crates/gooseberry-gateway/tests/fatal_prompts.rs
@@ -10,7 +10,7 @@
 use gooseberry_standin::site::worker::FATAL_PART;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use membership::gossip::{Body, Gossip, ListedPeer};
+use membership::gossip::{Body, Gossip, KINDS, ListedPeer};
 use relay::{Quarantine, Subject};
 use site::{Site, generation, send_to};
 
@@ -108,6 +108,7 @@
         addr: "10.0.0.1:1".parse().unwrap(),
         tunnels: None,
         hub_priority: 9,
+        kinds: KINDS,
     }]);
     let messages = gossip.news(Millis(11_000), Body::Prompts(evidence));
     let bytes = postcard::to_stdvec(&messages[0].1).unwrap();
--- a/crates/gooseberry-gateway/tests/tunnels.rs
+++ b/crates/gooseberry-gateway/tests/tunnels.rs
@@ -8,7 +8,7 @@
 use gooseberry_gateway::run::Gateway;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use membership::gossip::ListedPeer;
+use membership::gossip::{KINDS, ListedPeer};
 use site::cut::{Cut, CutHost};
 use site::{Site, events, generation, request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -131,6 +131,7 @@
         addr: listen.peers,
         tunnels: listen.tunnels,
         hub_priority: 0,
+        kinds: KINDS,
     }]);
 }
 
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -23,7 +23,7 @@
 
 pub use announcement::Announcement;
 pub use message::{
-    Body, CrashReport, FailedServer, FatalPrompt, LeavingServer, Message, PromptEvidence,
+    Body, CrashReport, FailedServer, FatalPrompt, KINDS, LeavingServer, Message, PromptEvidence,
     ServerLimit, SoundPart, Usage, WINDOWS,
 };
 use order::hub_order;
@@ -326,13 +326,18 @@
     }
 
     /// The messages that tell the hub, or as a hub the members and the other hubs, what is in `body`:
-    /// [`Body::Prompts`], [`Body::Limits`] or [`Body::Leaving`].
+    /// [`Body::Prompts`], [`Body::Requests`], [`Body::Limits`] or [`Body::Leaving`].
+    ///
+    /// While hosts of earlier versions are listed, it goes to every listed host, as their hub may skip it.
     pub fn news(&mut self, now: Millis, body: Body) -> Vec<(SocketAddr, Message)> {
         let mut addrs: Vec<SocketAddr> = self.members.iter().map(|(_, r)| r.addr).collect();
         match self.hub() {
             Some(hub) => addrs.push(hub.addr),
             None => addrs.extend(self.hub_addrs()),
         }
+        if self.listed.iter().any(|l| l.kinds < KINDS) {
+            addrs.extend(self.listed.iter().map(|l| l.addr));
+        }
         let message = Message {
             // Leaves room for the body; other messages carry the failed servers.
             failed: Vec::new(),
--- a/crates/membership/src/gossip/message.rs
+++ b/crates/membership/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use strum::EnumCount;
 
 /// Number of windows in which requests are counted: the current one, the one half a window earlier, and the
 /// one before that.
@@ -110,8 +111,12 @@
     pub body: Body,
 }
 
-/// The kinds of message, by sender and receiver.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Number of the kinds of messages, which a host states in its row.
+pub const KINDS: u8 = Body::COUNT as u8;
+
+/// The kinds of message, by sender and receiver. Each keeps its place, by which hosts of other versions know it; later
+/// ones are added at the end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, EnumCount)]
 pub enum Body {
     /// From a host to the hub of its data centre: its own usage.
     Digest(Vec<Usage>),
--- a/crates/membership/src/gossip/order.rs
+++ b/crates/membership/src/gossip/order.rs
@@ -19,6 +19,8 @@
     pub tunnels: Option<SocketAddr>,
     /// See [`hub_priority`]; 0 for a host whose row does not state it.
     pub hub_priority: u64,
+    /// [`KINDS`](super::KINDS) of its version; 0 if its row does not state it.
+    pub kinds: u8,
 }
 
 /// Priority of a host as the hub of its data centre; hosts of the highest one are hubs first.
--- a/crates/membership/tests/table_sources.rs
+++ b/crates/membership/tests/table_sources.rs
@@ -53,6 +53,7 @@
         addr: addr(i),
         tunnels: None,
         hub_priority: hub_priority(0.12, f64::from(20 * (i % 3))),
+        kinds: 0,
     };
     let all: Vec<ListedPeer> = (0..12).map(peer).collect();
     let mut polled = Vec::new();
