--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -34,7 +34,8 @@
 /// # Errors
 ///
 /// The operating system's error, or `TimedOut` after `timeout`; for a server that another host does not reach
-/// either, `ConnectionRefused`; for one that wants no requests through other hosts, `ResourceBusy`; if no other host opens tunnels at present, `HostUnreachable`.
+/// either, `ConnectionRefused`; for one that wants no requests through other hosts, `ResourceBusy`; if no other host
+/// opens tunnels at present, `HostUnreachable`.
 pub async fn open(
     ctx: &Arc<Context>,
     id: &BackendId,
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -75,6 +75,7 @@
         self.until_admitted_by(ctx, Subject::Prompts, parts).await
     }
 
+    /// As [`Job::until_admitted`], for one subject.
     async fn until_admitted_by(
         &self,
         ctx: &Context,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -279,6 +279,7 @@
 
     /// What to tell other hosts now; a host that passes messages on (`is_hub`) tells what it has heard as well.
     pub fn evidence(&mut self, now: Millis, is_hub: bool) -> Option<PromptEvidence> {
+        self.drop_old_crashes(now);
         let crashes = self.crash_reports(now, is_hub);
         let is_due = |s: &Sound| s.announcement.is_due(now, is_hub);
         let sound = self.sound.iter().filter(|(_, s)| is_due(s));
@@ -519,9 +520,13 @@
         is_known
     }
 
+    fn drop_old_crashes(&mut self, now: Millis) {
+        self.crashes.retain(|c| now.since(c.at) < CRASH_TTL);
+    }
+
     /// Quarantines the parts that the crashes give reason for.
     fn judge(&mut self, now: Millis) {
-        self.crashes.retain(|c| now.since(c.at) < CRASH_TTL);
+        self.drop_old_crashes(now);
         while let Some(parts) = self.verdict() {
             let explained: Vec<&Crash> = {
                 let crashes = self.crashes.iter();
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -430,3 +430,13 @@
         );
     }
 }
+
+/// Requests are hashed only while there is evidence.
+#[test]
+fn evidence_ends() {
+    let mut quarantine = fatal_request(&[1_000]);
+    quarantine.evidence(Millis(600_000), false);
+    assert!(!quarantine.is_empty());
+    quarantine.evidence(Millis(601_000), false);
+    assert!(quarantine.is_empty());
+}
