--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -81,10 +81,9 @@
     recent: Millis,
     timeout: Millis,
 ) -> bool {
-    let now = ctx.now();
-    if now.since(ctx.servers.last_activity(id)) < recent
-        && ctx.servers.is_up_since(id, now - recent)
-    {
+    let (now, last) = (ctx.now(), ctx.servers.last_activity(id));
+    // A server from which nothing has come may be down, also when this host has just started.
+    if last > Millis(0) && now.since(last) < recent && ctx.servers.is_up_since(id, now - recent) {
         return true;
     }
     match ctx.servers.addr(id) {
