--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -210,6 +210,9 @@
                     id = %job.call.id, server = %id, %outcome, has_head, parts = ?job.call.shared_parts,
                     "stream attempt ended before its first event"
                 );
+                if outcome == Outcome::Failed {
+                    self.job.record_run(&self.ctx);
+                }
                 self.record_lost(&id, outcome, has_head, is_indirect);
                 self.avoid.push(id);
                 return Err(StartError::Ended(outcome));
--- a/crates/gooseberry-gateway/tests/fatal_requests.rs
+++ b/crates/gooseberry-gateway/tests/fatal_requests.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
+use base::hash::fingerprint;
 use bytes::Bytes;
 use gooseberry_gateway::run::Gateway;
+use gooseberry_standin::site::documents::HOST;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use relay::Subject;
@@ -172,3 +174,21 @@
     let runs = site.shared.runs_of_path("/safe/crash");
     assert!(runs <= MAX_RUNS, "sent to servers {runs} times");
 }
+
+/// A server that answers a request with an error has run it and goes on.
+#[tokio::test]
+async fn answered_with_an_error() {
+    let site = Site::start().await;
+    let ctx = &site.gateway.ctx;
+    for path in ["/safe/fail", "/draft/fail"] {
+        let fields = ["POST", HOST, path, "crew", "1"];
+        let key = fingerprint(&fields.map(str::as_bytes));
+        let is_news = ctx
+            .quarantine(Subject::Requests)
+            .record_crash(ctx.now(), 1, &[key]);
+        assert!(is_news);
+        let answer = site.send(request("1", path)).await;
+        assert!(answer.status.is_server_error());
+        assert!(ctx.quarantine(Subject::Requests).is_empty(), "{path}");
+    }
+}
