--- a/crates/gooseberry-gateway/src/hosts.rs
+++ b/crates/gooseberry-gateway/src/hosts.rs
@@ -151,7 +151,8 @@
         host: HostId::from(row.key.as_str()),
         data_centre: entry.data_centre,
         addr: entry.peers,
-        tunnels: entry.tunnels_h2,
+        tunnels: entry.tunnels_h2.or(entry.tunnels),
+        has_http2: entry.tunnels_h2.is_some(),
         hub_priority: entry.hub_priority,
         kinds: entry.kinds,
     })
--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -44,6 +44,8 @@
     pub is_used: bool,
     /// Address of the host that opened it as a tunnel; `None` for a connection of this host's own.
     pub tunnel: Option<SocketAddr>,
+    /// Whether the end of this connection may be a loss, as of a tunnel by HTTP/1.
+    pub hides_loss: bool,
     /// Runs the connection to that host.
     _carrier: Option<AbortOnDropHandle<()>>,
 }
@@ -94,6 +96,7 @@
             driver: task.abort_handle(),
             is_used: false,
             tunnel,
+            hides_loss: false,
             _carrier: carrier,
         })
     }
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -161,6 +161,7 @@
             data_centre,
             addr: peers,
             tunnels: listen.tunnels,
+            has_http2: listen.tunnels.is_some(),
             hub_priority,
             kinds: KINDS,
         },
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -256,7 +256,7 @@
     let head = response::decode(&parts, &job.call.id);
     let speaker = head.answered_by.as_ref().unwrap_or(&lease.id);
     notices::record(ctx, speaker, Some(sent), &head.notice);
-    if head.is_foreign || head.is_encoded {
+    if head.is_foreign || head.is_encoded || head.ends_by_close && link.hides_loss {
         return Err(Outcome::Broken);
     }
     if let Some(new) = &head.answered_by {
--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -19,11 +19,13 @@
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::Empty;
-use hyper::client::conn::http2;
+use hyper::body::Incoming;
+use hyper::client::conn::{http1, http2};
 use hyper::header::HeaderName;
-use hyper::{Request, StatusCode};
+use hyper::upgrade::Upgraded;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use membership::tunnels::TunnelRequest;
+use membership::tunnels::{TunnelHost, TunnelRequest};
 use strum::{Display, EnumString, IntoStaticStr};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -134,7 +136,7 @@
             break;
         };
         tried.push(host.addr);
-        match open_through(ctx, host.addr, id, addr, purpose).await {
+        match open_through(ctx, &host, id, addr, purpose).await {
             Ok(link) => return Ok(link),
             Err(Some(Refusal::Unreachable)) => refusals += 1,
             Err(Some(Refusal::Held)) => is_held = true,
@@ -179,18 +181,26 @@
 /// The host's refusal; `None` if it did not answer.
 async fn open_through(
     ctx: &Context,
-    host: SocketAddr,
+    host: &TunnelHost,
     id: &BackendId,
     addr: SocketAddr,
     purpose: &'static str,
 ) -> Result<Link, Option<Refusal>> {
+    let has_http2 = host.has_http2;
+    let host = host.addr;
     let mut pending = Pending {
         ctx,
         host,
         since: ctx.now(),
         is_answered: false,
     };
-    let exchange = connect(host, id, addr, purpose);
+    let exchange = async {
+        if has_http2 {
+            connect(host, id, addr, purpose).await
+        } else {
+            connect_http1(host, id, addr).await
+        }
+    };
     let result = match tokio::time::timeout(HOST_TIMEOUT.duration(), exchange).await {
         Ok(result) => result,
         Err(_) => Err(None),
@@ -218,6 +228,48 @@
     result
 }
 
+/// Connects to the host at `host`.
+async fn connect_host(host: SocketAddr) -> Option<TcpStream> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(host));
+    let stream = connecting.await.ok()?.ok()?;
+    link::tune(&stream, Some(link::USER_TIMEOUT));
+    Some(stream)
+}
+
+/// The stream of the tunnel that a host has opened, or its refusal.
+async fn accepted(response: Response<Incoming>) -> Result<Upgraded, Option<Refusal>> {
+    if response.status() != StatusCode::OK {
+        let refusal = response.headers().get(REFUSAL);
+        let text = refusal.and_then(|r| r.to_str().ok()).unwrap_or_default();
+        return Err(Some(text.parse().unwrap_or(Refusal::Unreadable)));
+    }
+    hyper::upgrade::on(response).await.map_err(|_| None)
+}
+
+/// Asks the host at `host`, which is of an earlier version, for a tunnel to a server.
+async fn connect_http1(
+    host: SocketAddr,
+    id: &BackendId,
+    addr: SocketAddr,
+) -> Result<Link, Option<Refusal>> {
+    let stream = connect_host(host).await.ok_or(None)?;
+    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(|_| None)?;
+    let carrier = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = connection.with_upgrades().await {
+            tracing::debug!(%error, "connection for a tunnel closed with an error");
+        }
+    }));
+    let request = Request::connect(addr.to_string()).header(SERVER, id.as_str());
+    let request = request.body(Empty::new()).map_err(|_| None)?;
+    let response = sender.send_request(request).await.map_err(|_| None)?;
+    let tunnel = accepted(response).await?;
+    let link = Link::through(tunnel, host, carrier).await;
+    let mut link = link.map_err(|_| None)?;
+    link.hides_loss = true;
+    Ok(link)
+}
+
 /// Asks the host at `host` for a tunnel to a server.
 async fn connect(
     host: SocketAddr,
@@ -225,10 +277,7 @@
     addr: SocketAddr,
     purpose: &'static str,
 ) -> Result<Link, Option<Refusal>> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(host));
-    let connected = connecting.await.map_err(|_| None)?;
-    let stream = connected.map_err(|_| None)?;
-    link::tune(&stream, Some(link::USER_TIMEOUT));
+    let stream = connect_host(host).await.ok_or(None)?;
     let handshake = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL.duration())
@@ -247,12 +296,6 @@
         .header(PURPOSE, purpose);
     let request = request.body(Empty::new()).map_err(|_| None)?;
     let response = sender.send_request(request).await.map_err(|_| None)?;
-    if response.status() != StatusCode::OK {
-        let refusal = response.headers().get(REFUSAL);
-        let text = refusal.and_then(|r| r.to_str().ok()).unwrap_or_default();
-        return Err(Some(text.parse().unwrap_or(Refusal::Unreadable)));
-    }
-    let upgraded = hyper::upgrade::on(response).await.map_err(|_| None)?;
-    let link = Link::through(upgraded, host, carrier);
+    let link = Link::through(accepted(response).await?, host, carrier);
     link.await.map_err(|_| None)
 }
--- a/crates/gooseberry-gateway/tests/fatal_prompts.rs
+++ b/crates/gooseberry-gateway/tests/fatal_prompts.rs
@@ -107,6 +107,7 @@
         data_centre: centre,
         addr: "10.0.0.1:1".parse().unwrap(),
         tunnels: None,
+        has_http2: false,
         hub_priority: 9,
         kinds: KINDS,
     }]);
--- a/crates/gooseberry-gateway/tests/tunnels.rs
+++ b/crates/gooseberry-gateway/tests/tunnels.rs
@@ -130,6 +130,7 @@
         data_centre: DataCentre::from("b"),
         addr: listen.peers,
         tunnels: listen.tunnels,
+        has_http2: true,
         hub_priority: 0,
         kinds: KINDS,
     }]);
@@ -341,3 +342,35 @@
         });
     }
 }
+
+/// Hosts of the version before open tunnels by HTTP/1 only, where an answer that ends with its connection may have been
+/// cut off.
+#[tokio::test]
+async fn only_hosts_of_earlier_version() {
+    let site = Site::bare().await;
+    let listener = site::listener().await;
+    let addr = listener.local_addr().unwrap();
+    let (_finish, finished) = watch::channel(Some(End::Close));
+    tokio::spawn(answer_without_lengths(listener, finished));
+    for (id, centre) in [("p-2", "a"), ("p-3", "b")] {
+        site.server(id, false, centre).await;
+    }
+    site.configure(1, &site::config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 2)
+        .await;
+    site.forget_tunnels("host-1").await;
+    let host = site.cut_host("host-2", &["host-1"]).await;
+    host.cut_servers(Cut::Reset).await;
+    notice(&host).await;
+    assert_served(&host, "a").await;
+    assert!(host.tunnel_count() > 0);
+    for id in ["p-2", "p-3"] {
+        site.put("servers", id, None);
+    }
+    site.list("p-1", addr, false, "a", "ready");
+    site.until("listed", || site.listed_count() == 1).await;
+    let host = site.cut_host("host-3", &["host-1"]).await;
+    host.cut_servers(Cut::Reset).await;
+    let answer = host.send(request("1", "/once/a")).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "it has run");
+}
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -232,6 +232,7 @@
         let offers = self.listed.iter().filter_map(|l| {
             Some(TunnelHost {
                 addr: l.tunnels?,
+                has_http2: l.has_http2,
                 centre: l.data_centre.clone(),
             })
         });
--- a/crates/membership/src/gossip/order.rs
+++ b/crates/membership/src/gossip/order.rs
@@ -17,6 +17,8 @@
     pub addr: SocketAddr,
     /// Address at which it opens tunnels to backend servers; `None` if it does not.
     pub tunnels: Option<SocketAddr>,
+    /// Whether it opens them by HTTP/2; hosts of earlier versions by HTTP/1 only.
+    pub has_http2: bool,
     /// See [`hub_priority`]; 0 for a host whose row does not state it.
     pub hub_priority: u64,
     /// [`KINDS`](super::KINDS) of its version; 0 if its row does not state it.
--- a/crates/membership/src/tunnels.rs
+++ b/crates/membership/src/tunnels.rs
@@ -17,6 +17,8 @@
 pub struct TunnelHost {
     /// The address at which it does.
     pub addr: SocketAddr,
+    /// Whether it does by HTTP/2, which tells the end of an answer from a loss; by HTTP/1 otherwise.
+    pub has_http2: bool,
     /// Its data centre.
     pub centre: DataCentre,
 }
@@ -43,6 +45,7 @@
 impl TunnelHosts {
     /// The host to try next; `None` if all were tried or are passed over.
     ///
+    /// Hosts without HTTP/2 come last.
     /// All hosts of a data centre may be cut from the servers together, so one in which a host was tried, or is
     /// passed over, comes after the others. Among these a host in the server's data centre comes first, since
     /// the request crosses between data centres once then, as without a tunnel; then one in this host's data
@@ -67,6 +70,7 @@
             .min_by_key(|(i, h)| {
                 let spread = stable(&(request.seed ^ (*i as u64).rotate_left(32)).to_le_bytes());
                 (
+                    !h.has_http2,
                     tried.binary_search(&&h.centre).is_ok(),
                     paused.binary_search(&&h.centre).is_ok(),
                     h.centre != *request.server_centre,
--- a/crates/membership/tests/host_digests.rs
+++ b/crates/membership/tests/host_digests.rs
@@ -161,6 +161,7 @@
     fn listed(&self) -> ListedPeer {
         ListedPeer {
             tunnels: None,
+            has_http2: false,
             hub_priority: self.hub_priority,
             kinds: KINDS,
             host: self.name.clone(),
--- a/crates/membership/tests/table_sources.rs
+++ b/crates/membership/tests/table_sources.rs
@@ -52,6 +52,7 @@
         data_centre: DataCentre::from("a"),
         addr: addr(i),
         tunnels: None,
+        has_http2: false,
         hub_priority: hub_priority(0.12, f64::from(20 * (i % 3))),
         kinds: 0,
     };
--- a/crates/membership/tests/tunnel_hosts.rs
+++ b/crates/membership/tests/tunnel_hosts.rs
@@ -16,6 +16,7 @@
 fn hosts(count: u8) -> Vec<TunnelHost> {
     let centre = |i: u8| DataCentre::from(["a", "b", "c"][usize::from(i % 3)]);
     let host = |i| TunnelHost {
+        has_http2: true,
         addr: addr(i),
         centre: centre(i),
     };
@@ -110,3 +111,18 @@
     state.record_failed(Millis(7_000), addr(1));
     assert_eq!(choose(&state, 7_001, &hosts, &[]), None, "refused at once");
 }
+
+/// A host of an earlier version cannot tell the end of an answer from a loss.
+#[test]
+fn earlier_versions_last() {
+    let mut hosts = hosts(6);
+    for host in &mut hosts[..4] {
+        host.has_http2 = false;
+    }
+    let state = TunnelHosts::default();
+    for _ in 0..20 {
+        let chosen = choose(&state, 0, &hosts, &[]).unwrap();
+        assert!([addr(4), addr(5)].contains(&chosen));
+    }
+    assert!(choose(&state, 0, &hosts, &[4, 5]).is_some());
+}
