--- a/crates/gooseberry-gateway/src/tunnel.rs
+++ b/crates/gooseberry-gateway/src/tunnel.rs
@@ -1,7 +1,8 @@
 //! Tunnels to backend servers through other hosts, by the `CONNECT` method of HTTP/2.
 //!
 //! A stream of HTTP/2 tells its end from a loss, so that an answer which ends with its connection can be trusted, and
-//! its pings are answered however slowly the tunnel is read, so that either host notices the loss of the other.
+//! its pings are answered however slowly the tunnel is read, so that either host notices the loss of the other. Hosts of
+//! earlier versions, which open tunnels by HTTP/1 only, are asked if no other one is left.
 //!
 //! The other host connects to the server and forwards bytes in both directions unchanged; it neither chooses a server
 //! nor retries a request. It reads the head of the answer, as a server which says that it is leaving or wants no
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,7 +1,11 @@
-//! Quarantine of prompts that end the servers which begin to answer on them.
+//! Quarantine of prompts and of whole requests that end the servers which begin to answer or to run them.
 //!
-//! When a server ends, all its requests fail, but only one of them may be the cause: one whose answer had begun and
-//! had no output yet. A host reports the shared parts of the prompts of such requests, and the hosts exchange the
+//! When a server ends, all its requests fail, but only one of them may be the cause. A request that ends its servers by
+//! itself, and comes again, is told by its hash, which is in the ends of several servers and in no answer; a prompt by the
+//! parts that it shares with others, of which most are innocent. Both are judged alike, each [`Subject`] in a quarantine
+//! of its own. What follows speaks of prompts; the only part of a whole request is its hash.
+//!
+//! The cause is a request whose answer had begun and had no output yet. A host reports the shared parts of the prompts of such requests, and the hosts exchange the
 //! reports. Parts that are in the reports of several servers, and in no answer that got past its beginning, are
 //! quarantined together: a request whose prompt has all of them is not sent to a server. Each host sends requests with
 //! some of them one at a time, as any of them may be the cause; if a server ends under one of those, the parts that
@@ -139,11 +143,11 @@
     Allowed,
     /// A request with some of the quarantined parts has been sent; its outcome decides.
     Wait,
-    /// Its prompt is quarantined; the next trial is due after this time at the earliest.
+    /// It is quarantined; the next trial is due after this time at the earliest.
     Refused(Millis),
 }
 
-/// A server that ended with a request whose prompt has these parts.
+/// A server that ended with a request which has these parts.
 #[derive(Clone, Debug)]
 struct Crash {
     server: u32,
