--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -112,7 +112,7 @@
     }
 
     /// Finds out whether a server that broke the connection with this request has ended, and records that; returns
-    /// whether it has, as far as is known within [`CRASH_CHECK_WAIT`].
+    /// whether it has, as far as is known within 100 ms.
     ///
     /// `is_indirect` as for [`liveness::has_ended`].
     pub async fn check_crash(
--- a/crates/gooseberry-standin/src/site/worker.rs
+++ b/crates/gooseberry-standin/src/site/worker.rs
@@ -108,7 +108,7 @@
     BreakFirst,
     /// Stalls the stream, on the first run of the request.
     SilentFirst,
-    /// Sends nothing for [`SLOW_PAUSE`] in the middle of the stream.
+    /// Sends nothing for some hundred milliseconds in the middle of the stream.
     Slow,
 }
 
