--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -43,10 +43,7 @@
     let mut avoid: Vec<BackendId> = Vec::new();
     loop {
         if let Err(left) = job.until_admitted(ctx).await {
-            return match history.abandon() {
-                Action::Refuse => job.refuse_quarantined(ctx, left),
-                action => job.answer_failure(ctx, action, "quarantined", &FAILURE_TEXTS),
-            };
+            return job.answer_quarantined(ctx, &history, left, &FAILURE_TEXTS);
         }
         let request = PlacementRequest {
             service: job.plan.service.as_str(),
--- a/crates/gooseberry-gateway/src/fleet/leaving.rs
+++ b/crates/gooseberry-gateway/src/fleet/leaving.rs
@@ -35,7 +35,9 @@
         let mut is_news = false;
         for one in received {
             let Some(id) = fleet.id_of(one.server) else {
-                is_news |= fleet.roster.record_told_leaving(one.server, one.start_time);
+                is_news |= fleet
+                    .roster
+                    .record_unlisted_leaving(one.server, one.start_time);
                 continue;
             };
             let member = fleet.roster.get(&id);
--- a/crates/gooseberry-gateway/src/fleet/limits.rs
+++ b/crates/gooseberry-gateway/src/fleet/limits.rs
@@ -56,12 +56,17 @@
 }
 
 impl Server {
-    /// Whether the server has said of itself what still holds or is told to other hosts.
+    /// Whether it wants no requests from this host at present.
+    fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until
+    }
+
+    /// Whether a pause or a limit of it is in force, or its leaving is being announced to other hosts.
     pub(super) fn has_notice(&self, now: Millis) -> bool {
-        now < self.paused_until || self.limit.turns.is_some() || self.leaving.is_due(now, true)
+        self.is_paused(now) || self.limit.turns.is_some() || self.leaving.is_due(now, true)
     }
 
-    /// Forgets all but what the server has said of itself.
+    /// Drops all state but its pause, its limit and the announcement of its leaving.
     pub(super) fn keep_notices(&mut self) {
         *self = Self {
             paused_until: self.paused_until,
@@ -115,7 +120,7 @@
         let fleet = self.lock();
         let is_usable = fleet.roster.get(id).is_some_and(|m| m.is_usable(now));
         let server = fleet.servers.get(id);
-        is_usable && server.is_none_or(|s| now >= s.paused_until)
+        is_usable && !server.is_some_and(|s| s.is_paused(now))
     }
 
     /// Takes turns at a server; returns `false` if it is limited and none is due, or it is paused.
@@ -136,7 +141,7 @@
         let hosts = fleet.sharing_hosts();
         let members = fleet.usable(now, request.service);
         let servers = members.filter_map(|(id, _)| fleet.servers.get(id));
-        let is_held = |s: &&Server| s.limit.turns.is_some() || now < s.paused_until;
+        let is_held = |s: &&Server| s.limit.turns.is_some() || s.is_paused(now);
         let held: Vec<&Server> = servers
             .filter(|s| is_held(s) && !s.health.is_ejected(now))
             .collect();
@@ -216,7 +221,7 @@
     /// limited server.
     pub(super) fn has_turn(&self, server: &Server, now: Millis, is_backup: bool) -> bool {
         let turns = server.limit.turns;
-        now >= server.paused_until
+        !server.is_paused(now)
             && turns.is_none_or(|t| !is_backup && t.due(now, self.sharing_hosts()) <= now)
     }
 
@@ -226,7 +231,7 @@
         let Some(server) = self.servers.get_mut(id) else {
             return true;
         };
-        if now < server.paused_until {
+        if server.is_paused(now) {
             return false;
         }
         let Some(turns) = &mut server.limit.turns else {
--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -134,17 +134,13 @@
         let opened = tunnel::open(ctx, id, "ended").await;
         return opened.is_err_and(|e| e == TunnelError::Unreachable);
     }
-    ctx.metrics.count_connection("ended");
-    // The result says nothing of this host's path, which the request has just used.
-    match Link::open(addr, PROBE_TIMEOUT).await {
+    // The request has just used this host's path, so that a refusal is no evidence against it.
+    match paths::dial(ctx, addr, PROBE_TIMEOUT, "ended").await {
         Ok(link) => {
             ctx.servers.keep_idle(id, link, ctx.now(), None);
             false
         }
-        Err(error) => {
-            ctx.metrics.count_failed_connection("ended");
-            error.kind() == std::io::ErrorKind::ConnectionRefused
-        }
+        Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
     }
 }
 
--- a/crates/gooseberry-gateway/src/paths.rs
+++ b/crates/gooseberry-gateway/src/paths.rs
@@ -87,14 +87,29 @@
     timeout: Millis,
     cause: &'static str,
 ) -> io::Result<Link> {
-    ctx.metrics.count_connection(cause);
-    let opened = Link::open(addr, timeout).await;
+    let opened = dial(ctx, addr, timeout, cause).await;
     match &opened {
         Ok(_) => record_accepted(ctx, id),
-        Err(error) => {
-            ctx.metrics.count_failed_connection(cause);
-            record_refused(ctx, id, error);
-        }
+        Err(error) => record_refused(ctx, id, error),
+    }
+    opened
+}
+
+/// Opens a connection over this host's own path; the result is counted under `cause` and says nothing of the path.
+///
+/// # Errors
+///
+/// The operating system's error, or `TimedOut` after `timeout`.
+pub async fn dial(
+    ctx: &Context,
+    addr: SocketAddr,
+    timeout: Millis,
+    cause: &'static str,
+) -> io::Result<Link> {
+    ctx.metrics.count_connection(cause);
+    let opened = Link::open(addr, timeout).await;
+    if opened.is_err() {
+        ctx.metrics.count_failed_connection(cause);
     }
     opened
 }
--- a/crates/gooseberry-gateway/src/quarantine.rs
+++ b/crates/gooseberry-gateway/src/quarantine.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use platform::store::Table;
 use relay::quarantine::{Admission, Fatal, Subject};
+use relay::{Action, SendHistory};
 use serde::{Deserialize, Serialize};
 use strum::VariantArray;
 use tokio::task::JoinHandle;
@@ -18,7 +19,7 @@
 use crate::context::Context;
 use crate::liveness;
 use crate::reply::Body;
-use crate::send::Job;
+use crate::send::{FailureTexts, Job};
 use crate::store::{CallError, Store};
 
 /// Interval at which a host that hears no other reads the quarantines, and at which failed calls are repeated.
@@ -101,14 +102,23 @@
         }
     }
 
-    /// The response to a quarantined request that was not sent to any server.
-    pub fn refuse_quarantined(&self, ctx: &Context, left: Millis) -> Response<Body> {
-        self.refuse(
-            ctx,
-            "quarantined",
-            "such requests have ended the servers that began to run them; the request has not run",
-            left.0,
-        )
+    /// The error response for a quarantined request; `left` is the time until the next trial.
+    pub fn answer_quarantined(
+        &self,
+        ctx: &Context,
+        history: &SendHistory,
+        left: Millis,
+        texts: &FailureTexts,
+    ) -> Response<Body> {
+        match history.abandon() {
+            Action::Refuse => self.refuse(
+                ctx,
+                "quarantined",
+                "such requests have ended the servers that began to run them; the request has not run",
+                left.0,
+            ),
+            action => self.answer_failure(ctx, action, "quarantined", texts),
+        }
     }
 
     /// Finds out whether a server that broke the connection with this request has ended, and records that; returns
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -100,10 +100,10 @@
     let mut state = StreamState::new(ctx, job);
     loop {
         if let Err(left) = state.job.until_admitted(&state.ctx).await {
-            return match state.history.abandon() {
-                Action::Refuse => state.job.refuse_quarantined(&state.ctx, left),
-                action => state.answer_failure(action, "quarantined"),
-            };
+            let (ctx, history) = (&state.ctx, &state.history);
+            return state
+                .job
+                .answer_quarantined(ctx, history, left, &FAILURE_TEXTS);
         }
         let outcome = match state.start_attempt().await {
             Ok(headers) => return state.into_response(headers),
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -96,9 +96,9 @@
     members: Sorted<BackendId, Member>,
     /// Start times of the servers that have said that they are leaving, also of those that are not listed.
     leaving: Sorted<BackendId, u64>,
-    /// Short hashes of the ids and start times of servers that were not listed when another host told that they are
-    /// leaving.
-    told: Sorted<u32, u64>,
+    /// Start times of servers that were not listed when another host reported that they are leaving, by the short hash
+    /// of their ids.
+    unlisted_leaving: Sorted<u32, u64>,
     /// Start times of the servers whose rows were removed.
     removed: Sorted<BackendId, u64>,
     /// Rows up to this revision come from an older copy of the registry; 0 if it has not come back from one.
@@ -177,20 +177,19 @@
         self.leaving.get(id).copied()
     }
 
-    /// Records what another host tells of a server that is not listed here: that it is leaving, and when it started.
-    /// Returns whether that is news.
-    pub fn record_told_leaving(&mut self, server_hash: u32, start_time: u64) -> bool {
+    /// Records another host's report that a server which is not listed here is leaving; returns whether that is news.
+    pub fn record_unlisted_leaving(&mut self, server_hash: u32, start_time: u64) -> bool {
         if self
-            .told
+            .unlisted_leaving
             .get(&server_hash)
             .is_some_and(|s| start_time <= *s)
         {
             return false;
         }
-        if self.told.len() >= MAX_GONE {
-            self.told = Sorted::default();
+        if self.unlisted_leaving.len() >= MAX_GONE {
+            self.unlisted_leaving = Sorted::default();
         }
-        self.told.insert(server_hash, start_time);
+        self.unlisted_leaving.insert(server_hash, start_time);
         true
     }
 
@@ -201,12 +200,13 @@
         };
         let is_of = |start: Option<&u64>| start.is_some_and(|s| member.entry.start_time <= *s);
         let server_hash = short_hash(id.as_str());
-        let says_leaving = is_of(self.leaving.get(id)) || is_of(self.told.get(&server_hash));
+        let says_leaving =
+            is_of(self.leaving.get(id)) || is_of(self.unlisted_leaving.get(&server_hash));
         let was_removed = is_copy && is_of(self.removed.get(id));
         member.is_gone = says_leaving || was_removed;
         if !says_leaving {
             self.leaving.remove(id);
-            self.told.remove(&server_hash);
+            self.unlisted_leaving.remove(&server_hash);
         }
         if !was_removed {
             self.removed.remove(id);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -23,7 +23,7 @@
 use base::prelude::*;
 use base::sorted::{Sorted, distinct};
 use membership::gossip::{Announcement, CrashReport, FatalPrompt, PromptEvidence, SoundPart};
-use strum::{Display, EnumString, IntoStaticStr, VariantArray};
+use strum::{Display, EnumString, VariantArray};
 
 /// Number of crashes from which a part is quarantined.
 const LIMIT: usize = 3;
@@ -83,20 +83,7 @@
 const MAX_MESSAGE_PARTS: usize = 24;
 
 /// What is quarantined.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Display,
-    EnumString,
-    IntoStaticStr,
-    VariantArray,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, VariantArray)]
 #[strum(serialize_all = "snake_case")]
 pub enum Subject {
     /// Prompts, by the parts that they share with others.
@@ -156,8 +143,8 @@
     parts: Vec<u64>,
     /// Whether this host has seen it.
     is_own: bool,
-    /// Number of messages in which it was told to other hosts.
-    told: u32,
+    /// Number of messages that have included it.
+    announced: u32,
 }
 
 /// Parts that together end servers.
@@ -257,7 +244,7 @@
             at: now,
             parts: parts.iter().take(MAX_PARTS).copied().collect(),
             is_own: true,
-            told: 0,
+            announced: 0,
         };
         let is_new = self.add_crash(now, crash);
         self.judge(now);
@@ -321,16 +308,16 @@
         })
     }
 
-    /// Recent crashes, as many as fit a message; those that were told least often come first, and the latest of these.
+    /// Recent crashes, as many as fit a message; those in the fewest messages so far come first, and the latest of these.
     fn crash_reports(&mut self, now: Millis, is_hub: bool) -> Vec<CrashReport> {
         let is_recent = |c: &&mut Crash| now.since(c.at) < ANNOUNCE_TTL && (c.is_own || is_hub);
         let mut recent: Vec<&mut Crash> = self.crashes.iter_mut().filter(is_recent).collect();
-        recent.sort_by_key(|c| (c.told, Reverse(c.at)));
+        recent.sort_by_key(|c| (c.announced, Reverse(c.at)));
         let mut fits = room_for(MAX_MESSAGE_PARTS);
         let reports = recent.into_iter().take_while(|c| fits(c.parts.len()));
         reports
             .map(|c| {
-                c.told += 1;
+                c.announced += 1;
                 CrashReport {
                     server: c.server,
                     age: age(now, c.at),
@@ -369,7 +356,7 @@
                 at: now - Millis(u64::from(one.age)),
                 parts,
                 is_own: false,
-                told: 0,
+                announced: 0,
             };
             is_news |= self.add_crash(now, crash);
         }
