--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -90,6 +90,15 @@
         site
     }
 
+    /// Starts further backend servers, so that there are `count` whose ids begin with `prefix`, in two data centres.
+    pub(crate) async fn add_servers(&self, prefix: &str, is_engine: bool, count: usize) {
+        for i in 3..=count {
+            let centre = if i % 2 == 0 { "a" } else { "b" };
+            self.server(&format!("{prefix}-{i}"), is_engine, centre)
+                .await;
+        }
+    }
+
     /// Starts another gateway in the same data centre.
     pub(crate) async fn gateway(&self, host: &str) -> Gateway {
         run::start(&settings(host, self.store_addr), || 0)
