--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::panic::UnwindSafe;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, OnceLock};
@@ -47,11 +48,14 @@
 }
 
 /// Runs a case: opens the record in `folder`, runs `body` and ends with the exit code of its verdict.
-pub fn run_case(folder: &Path, body: impl FnOnce() -> Result<Verdict, String>) -> ! {
+pub fn run_case(folder: &Path, body: impl FnOnce() -> Result<Verdict, String> + UnwindSafe) -> ! {
     let file = File::create(folder.join("record.txt")).expect("cannot write record.txt");
     RECORD.set(Mutex::new(file)).unwrap();
     record(&format!("trouble: {}", has_trouble()));
-    let verdict = body().unwrap_or_else(Verdict::CannotRun);
+    // The processes of the run end with its `Site`, also if the run fails.
+    let result = std::panic::catch_unwind(body);
+    let result = result.unwrap_or_else(|_| Err("the case failed".to_owned()));
+    let verdict = result.unwrap_or_else(Verdict::CannotRun);
     let (code, text) = match verdict {
         Verdict::Held => (0, "the rule held".to_owned()),
         Verdict::Broken(what) => (1, format!("the rule was broken: {what}")),
