--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -330,7 +330,7 @@
                 Ok(None) => Err(AttemptEnd::Complete),
                 Err(error) => {
                     log_read_error(&self.job, &attempt.lease.id, &error);
-                    Err(AttemptEnd::Failed(Outcome::Broken))
+                    Err(AttemptEnd::Failed(Outcome::from(&error)))
                 }
             },
             () = self.ctx.timer.at(deadline) => Err(AttemptEnd::Failed(Outcome::TimedOut)),
@@ -509,7 +509,8 @@
     }
 }
 
-/// Sends a stream's request and waits for its first event.
+/// Sends a stream's request and waits for its first event; a server that begins the event has to complete it within the
+/// upper bound of [`STALL_RANGE_MS`].
 ///
 /// There is no event if the stream is resumed and the caller already has all of it. Sets `has_head` once the
 /// head of the response has arrived.
@@ -526,12 +527,20 @@
         return Err(Outcome::Failed);
     }
     let mut splitter = Splitter::default();
-    let event = next_event(opened.response.body_mut(), &mut splitter)
-        .await
-        .map_err(|error| {
-            log_read_error(job, &lease.id, &error);
-            Outcome::Broken
-        })?;
+    let body = opened.response.body_mut();
+    let read = async {
+        while !splitter.is_partial() && fill(body, &mut splitter).await? {}
+        let event = next_event(body, &mut splitter);
+        tokio::select! {
+            biased;
+            event = event => event,
+            () = ctx.timer.after(Millis(STALL_RANGE_MS.1)) => Err(ReadError::Stalled),
+        }
+    };
+    let event = read.await.map_err(|error| {
+        log_read_error(job, &lease.id, &error);
+        Outcome::from(&error)
+    })?;
     ctx.servers.record_activity(&lease.id, ctx.now());
     if event.is_none() && options.last_event.is_none() {
         return Err(Outcome::Broken);
@@ -551,6 +560,18 @@
     /// The body ended within an event.
     #[error("the body ended within an event")]
     Partial,
+    /// The server began the first event and did not complete it in time.
+    #[error("the first event was begun and not completed in time")]
+    Stalled,
+}
+
+impl From<&ReadError> for Outcome {
+    fn from(error: &ReadError) -> Self {
+        match error {
+            ReadError::Stalled => Self::TimedOut,
+            ReadError::Broken(_) | ReadError::Foreign(_) | ReadError::Partial => Self::Broken,
+        }
+    }
 }
 
 fn log_read_error(job: &Job, server: &BackendId, error: &ReadError) {
@@ -566,18 +587,26 @@
         if let Some(event) = splitter.pop()? {
             return Ok(Some(event));
         }
-        match body.frame().await {
-            Some(frame) => {
-                if let Some(bytes) = frame?.data_ref() {
-                    splitter.push(bytes);
-                }
-            }
-            None if splitter.is_partial() => return Err(ReadError::Partial),
-            None => return Ok(None),
+        if !fill(body, splitter).await? {
+            return match splitter.is_partial() {
+                true => Err(ReadError::Partial),
+                false => Ok(None),
+            };
         }
     }
 }
 
+/// Passes the next bytes of a body to the splitter; returns `false` at its end.
+async fn fill(body: &mut Incoming, splitter: &mut Splitter) -> Result<bool, ReadError> {
+    let Some(frame) = body.frame().await else {
+        return Ok(false);
+    };
+    if let Some(bytes) = frame?.data_ref() {
+        splitter.push(bytes);
+    }
+    Ok(true)
+}
+
 /// Waits until the server of a stream without events since `idle_since` fails a probe.
 async fn until_unreachable(ctx: &Arc<Context>, id: &BackendId, idle_since: Millis) {
     loop {
