--- a/crates/gooseberry-gateway/src/link.rs
+++ b/crates/gooseberry-gateway/src/link.rs
@@ -7,16 +7,17 @@
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::http::response::Parts;
-use hyper::rt::{Read, Write};
 use hyper::upgrade::Upgraded;
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio_util::task::AbortOnDropHandle;
+use web::limited::{self, HeadLimit};
 
 /// Idle time before the first TCP keepalive probe, and interval between probes; the shortest that the kernel
 /// supports.
@@ -40,6 +41,7 @@
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    head_limit: HeadLimit,
     /// Whether a request has been sent on it.
     pub is_used: bool,
     /// Address of the host that opened it as a tunnel; `None` for a connection of this host's own.
@@ -61,7 +63,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         tune(&stream, Some(USER_TIMEOUT));
-        Self::over(TokioIo::new(stream), None, None).await
+        Self::over(stream, None, None).await
     }
 
     /// Sends requests over a tunnel through the host at `host`; `carrier` runs the connection to that host.
@@ -74,7 +76,7 @@
         host: SocketAddr,
         carrier: AbortOnDropHandle<()>,
     ) -> io::Result<Self> {
-        Self::over(tunnel, Some(host), Some(carrier)).await
+        Self::over(TokioIo::new(tunnel), Some(host), Some(carrier)).await
     }
 
     async fn over<T>(
@@ -83,9 +85,12 @@
         carrier: Option<AbortOnDropHandle<()>>,
     ) -> io::Result<Self>
     where
-        T: Read + Write + Unpin + Send + 'static,
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        let stream = limited::Limited::new(stream);
+        let head_limit = stream.limit();
+        let handshake = limited::builder().handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection closed with an error");
@@ -94,6 +99,7 @@
         Ok(Self {
             sender,
             driver: task.abort_handle(),
+            head_limit,
             is_used: false,
             tunnel,
             hides_loss: false,
@@ -114,8 +120,12 @@
             return Err(SendError::Unsent);
         }
         self.is_used = true;
+        self.head_limit.begin();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head_limit.end();
+                Ok(response)
+            }
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::Unsent,
                 None => SendError::Broken(error.into_error()),
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -5,9 +5,8 @@
 
 use base::traffic;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
@@ -17,6 +16,8 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::io::{InspectReader, InspectWriter};
 
+use crate::limited::{self, Limited};
+
 /// Maximum size of a response body that is read completely.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -94,21 +95,24 @@
         .map_err(|e| unreachable(e.to_string()))?;
     // Nagle's algorithm would hold small writes until the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = timeout_at(
-        deadline,
-        http1::handshake(TokioIo::new(count_bytes(stream))),
-    )
-    .await
-    .map_err(|e| unreachable(e.to_string()))?
-    .map_err(|e| unreachable(e.to_string()))?;
+    let stream = Limited::new(count_bytes(stream));
+    let head_limit = stream.limit();
+    let handshake = limited::builder().handshake(TokioIo::new(stream));
+    let (mut sender, connection) = timeout_at(deadline, handshake)
+        .await
+        .map_err(|e| unreachable(e.to_string()))?
+        .map_err(|e| unreachable(e.to_string()))?;
     tokio::spawn(connection);
-    timeout_at(deadline, sender.send_request(request))
+    head_limit.begin();
+    let response = timeout_at(deadline, sender.send_request(request))
         .await
         .map_err(|_| CallError::Timeout { addr })?
         .map_err(|e| CallError::Broken {
             addr,
             cause: e.to_string(),
-        })
+        })?;
+    head_limit.end();
+    Ok(response)
 }
 
 /// Connection whose bytes are counted in [`base::traffic`].
@@ -183,7 +187,7 @@
     response: hyper::Response<Incoming>,
 ) -> Result<Bytes, CallError> {
     let status = response.status();
-    let bytes = Limited::new(response.into_body(), MAX_BODY_BYTES)
+    let bytes = http_body_util::Limited::new(response.into_body(), MAX_BODY_BYTES)
         .collect()
         .await
         .map_err(|e| CallError::Broken {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate makes no routing decisions.
 
 pub mod client;
+pub mod limited;
 pub mod reply;
 pub mod server;
 
