--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -4,22 +4,23 @@
 
 use balance::place::Load;
 use base::prelude::*;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use platform::response::{self, Head};
+use relay::answer_pool::AnswerShare;
 use relay::{Action, Outcome, SendHistory, Suspicion};
 use thiserror::Error;
 
-use crate::context::{AnswerBytes, Context};
+use crate::context::Context;
 use crate::fleet::{Lease, PlacementRequest};
 use crate::reply::{self, Body};
 use crate::send::{self, FailureTexts, Job, OpenResponse, StreamOptions};
 use crate::{liveness, paths};
 
-/// Maximum size of a buffered response body.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Most bytes by which the buffer of an answer grows at once.
+const MAX_GROWTH: usize = 256 << 10;
 
 /// Error texts for a caller whose call no server answered.
 const FAILURE_TEXTS: FailureTexts = FailureTexts {
@@ -151,26 +152,60 @@
     /// The connection broke, or the answer is malformed.
     #[error(transparent)]
     Broken(#[from] hyper::Error),
-    /// It is larger than [`MAX_ANSWER_BYTES`], or all answers together are larger than a host may buffer.
+    /// Too little of the memory for answers is left free.
     #[error("the answer is too large to be buffered")]
     TooLarge,
 }
 
+/// A buffered body; its memory is released once it has been written to the caller.
+#[derive(Debug)]
+struct Buffered {
+    bytes: Vec<u8>,
+    share: AnswerShare,
+}
+
+impl AsRef<[u8]> for Buffered {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Buffered {
+    /// Appends `data`.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadError::TooLarge`].
+    fn push(&mut self, data: &[u8]) -> Result<(), ReadError> {
+        let missing = data
+            .len()
+            .saturating_sub(self.bytes.capacity() - self.bytes.len());
+        if missing > 0 {
+            let growth = self.bytes.capacity().min(MAX_GROWTH).max(missing);
+            if !self.share.grow(growth) {
+                return Err(ReadError::TooLarge);
+            }
+            let spare = self.bytes.capacity() - self.bytes.len();
+            self.bytes.reserve_exact(spare + growth);
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
 /// Reads a complete answer.
 async fn read_answer(ctx: &Context, mut body: Incoming) -> Result<Bytes, ReadError> {
-    let mut counted = AnswerBytes::new(ctx);
-    let mut bytes = BytesMut::new();
+    let mut buffered = Buffered {
+        bytes: Vec::new(),
+        share: ctx.answers.share(),
+    };
     while let Some(frame) = body.frame().await {
         let frame = frame?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_ANSWER_BYTES || !counted.add(data.len()) {
-            return Err(ReadError::TooLarge);
+        if let Some(data) = frame.data_ref() {
+            buffered.push(data)?;
         }
-        bytes.extend_from_slice(data);
     }
-    Ok(bytes.freeze())
+    Ok(Bytes::from_owner(buffered))
 }
 
 /// Forwards a server's response to the caller.
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a host.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -8,7 +8,7 @@
 use base::sorted::Sorted;
 use membership::TunnelHosts;
 use membership::gossip::Gossip;
-use relay::{Budget, Quarantine, SendHistory, Subject};
+use relay::{AnswerPool, Budget, Quarantine, SendHistory, Subject};
 use routing::Snapshot;
 use timer::Timer;
 use tokio::sync::Notify;
@@ -23,13 +23,9 @@
 /// digests.
 const RETRY_POLL: Millis = Millis(50);
 
-/// Maximum size of the answers to calls that are buffered at once, so that servers which send without end do not use
-/// up the host's memory.
+/// Maximum size of the answers to calls that are buffered at once; the smallest hosts have 160 MB.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
-/// Bytes of each answer that do not count.
-const FREE_ANSWER_BYTES: usize = 64 << 10;
-
 /// Time limits set by the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -73,8 +69,8 @@
     /// Retry budget of a service that has had no requests yet.
     initial_budget: Budget,
     budgets: Mutex<Sorted<ServiceName, Budget>>,
-    /// Bytes of answers that are being read now, beyond the first [`FREE_ANSWER_BYTES`] of each.
-    answer_bytes: AtomicUsize,
+    /// Memory for the answers to calls that are being read or written.
+    pub answers: AnswerPool,
     /// The latest era of the store.
     store_era: AtomicU64,
     /// When the process began to stop, plus 1; 0 before.
@@ -107,7 +103,7 @@
             limits,
             initial_budget: budget,
             budgets: Mutex::default(),
-            answer_bytes: AtomicUsize::new(0),
+            answers: AnswerPool::new(MAX_BUFFERED_BYTES),
             store_era: AtomicU64::new(0),
             stopping: AtomicU64::new(0),
         }
@@ -266,44 +262,6 @@
     }
 }
 
-/// Counts the bytes of one answer while it is buffered.
-#[derive(Debug)]
-pub struct AnswerBytes<'a> {
-    ctx: &'a Context,
-    bytes: usize,
-}
-
-impl<'a> AnswerBytes<'a> {
-    /// Counts an answer of which nothing has arrived yet.
-    pub fn new(ctx: &'a Context) -> Self {
-        Self { ctx, bytes: 0 }
-    }
-
-    /// Counts bytes that have arrived; returns `false` if all answers together have too many.
-    pub fn add(&mut self, bytes: usize) -> bool {
-        let before = self.counted();
-        self.bytes += bytes;
-        let more = self.counted() - before;
-        let total = self
-            .ctx
-            .answer_bytes
-            .fetch_add(more, Ordering::Relaxed)
-            .saturating_add(more);
-        more == 0 || total <= MAX_BUFFERED_BYTES
-    }
-
-    fn counted(&self) -> usize {
-        self.bytes.saturating_sub(FREE_ANSWER_BYTES)
-    }
-}
-
-impl Drop for AnswerBytes<'_> {
-    fn drop(&mut self) {
-        let counted = self.counted();
-        self.ctx.answer_bytes.fetch_sub(counted, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request while it is in flight: until its response is complete or its caller disconnects.
 #[derive(Debug)]
 pub struct InFlight(Arc<Context>);
--- a/crates/gooseberry-gateway/tests/endless_answers.rs
+++ b/crates/gooseberry-gateway/tests/endless_answers.rs
@@ -144,6 +144,66 @@
     }
 }
 
+/// Bytes of a sound answer that is large.
+const LARGE_BYTES: usize = 1_500_000;
+
+/// Bytes of each of eight answers without end, which together nearly fill the memory for answers.
+const STUCK_BYTES: usize = 4_100 << 10;
+
+/// A server whose answers to paths with `bad` never end, after [`STUCK_BYTES`], and whose other answers are large.
+async fn large(listener: TcpListener, sent: Arc<Sent>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let sent = Arc::clone(&sent);
+        tokio::spawn(async move {
+            let mut request = vec![0; 64 << 10];
+            let length = stream.read(&mut request).await?;
+            let is_bad = request[..length].starts_with(b"POST /once/bad");
+            let (head, bytes) = if is_bad {
+                (format!("{SEALED}\r\n"), STUCK_BYTES)
+            } else {
+                let head = format!("{SEALED}content-length: {LARGE_BYTES}\r\n\r\n");
+                (head, LARGE_BYTES)
+            };
+            stream.write_all(head.as_bytes()).await?;
+            let written = stream.write_all(&vec![b'x'; bytes]).await;
+            sent.connections.fetch_add(1, Ordering::Relaxed);
+            written?;
+            stream.read(&mut request).await
+        });
+    }
+}
+
+/// Answers without end must not use up the memory that the answers of others need.
+#[tokio::test]
+async fn large_answers_beside() {
+    let site = Site::bare().await;
+    let sent = Arc::new(Sent::default());
+    let listener = listener().await;
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(large(listener, Arc::clone(&sent)));
+    site.list("s-1", addr, false, "a", "ready");
+    site.configure(1, &site::config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 1)
+        .await;
+    let mut bad = tokio::task::JoinSet::new();
+    for i in 0..8 {
+        let mut link = site.open().await;
+        bad.spawn(async move {
+            let request = request(&format!("bad-{i}"), "/once/bad");
+            exchange(&mut link, request).await.status
+        });
+    }
+    site.until("all have been sent or given up", || {
+        sent.connections.load(Ordering::Relaxed) == 8
+    })
+    .await;
+    // What the sockets still hold arrives.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let answer = site.send(request("large", "/safe/large")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body.len(), LARGE_BYTES);
+}
+
 #[tokio::test]
 async fn many_calls_at_once() {
     let (site, sent) = site(Begin::Body, false).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! No I/O: the outcomes of sends and the bytes of answers come in, decisions go out.
 
+pub mod answer_pool;
 pub mod budget;
 pub mod events;
 pub mod outcome;
@@ -9,6 +10,7 @@
 pub mod quarantine;
 pub mod suspicion;
 
+pub use answer_pool::AnswerPool;
 pub use budget::Budget;
 pub use events::{Event, SplitError, Splitter};
 pub use outcome::{Action, Outcome, SendHistory};
