--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -43,6 +43,9 @@
     let mut suspicion = Suspicion::default();
     let mut avoid: Vec<BackendId> = Vec::new();
     loop {
+        if !ctx.may_start(job.deadline) {
+            return job.answer_failure(ctx, history.abandon(), "stopping", &FAILURE_TEXTS);
+        }
         if let Err(left) = job.until_admitted(ctx).await {
             return job.answer_quarantined(ctx, &history, left, &FAILURE_TEXTS);
         }
--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -8,7 +8,7 @@
 use base::sorted::Sorted;
 use membership::TunnelHosts;
 use membership::gossip::Gossip;
-use relay::{AnswerPool, Budget, Quarantine, SendHistory, Subject};
+use relay::{AnswerPool, Budget, GracePeriod, Quarantine, SendHistory, Subject};
 use routing::Snapshot;
 use timer::Timer;
 use tokio::sync::Notify;
@@ -224,15 +224,22 @@
         self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
     }
 
-    /// When the process began to stop; `None` before.
-    pub fn stopped(&self) -> Option<Millis> {
-        let at = self.stopping.load(Ordering::Relaxed);
-        at.checked_sub(1).map(Millis)
+    /// The grace period; `None` before the process begins to stop.
+    pub fn grace_period(&self) -> Option<GracePeriod> {
+        let at = self.stopping.load(Ordering::Relaxed).checked_sub(1)?;
+        Some(GracePeriod::new(Millis(at), self.limits.grace))
+    }
+
+    /// Whether a request may be sent to a server now: not while too little of the grace period is left for its time
+    /// limit.
+    pub fn may_start(&self, deadline: Millis) -> bool {
+        let period = self.grace_period();
+        period.is_none_or(|p| p.may_start(self.now(), deadline))
     }
 
     /// Whether the host is ready for requests: not stopping, with a configuration and at least one server.
     pub fn is_ready(&self) -> bool {
-        self.stopped().is_none()
+        self.grace_period().is_none()
             && self.snapshot.load().is_some()
             && !self.servers.lock().roster.is_empty()
     }
--- a/crates/gooseberry-gateway/src/feed.rs
+++ b/crates/gooseberry-gateway/src/feed.rs
@@ -164,7 +164,7 @@
     let timeout = ctx.timer.after(wait);
     tokio::pin!(timeout);
     loop {
-        if ctx.stopped().is_some() {
+        if ctx.grace_period().is_some() {
             return Err(FeedError::Unavailable);
         }
         let rows = feed.borrow_and_update().changes_after(since)?;
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -234,6 +234,12 @@
     options: &StreamOptions<'_>,
 ) -> Result<OpenResponse, Outcome> {
     let mut link = connect_leased(ctx, lease).await?;
+    // A stream that is resumed has an answer already, which goes on until the process ends.
+    if options.last_event == job.call.last_event && !ctx.may_start(job.deadline) {
+        tracing::info!(id = %job.call.id, server = %lease.id, "request not sent: the host is stopping");
+        ctx.servers.keep_idle(&lease.id, link, ctx.now(), None);
+        return Err(Outcome::Unsent);
+    }
     // The server may have said so to another request since it was leased.
     if !ctx.servers.takes_requests(&lease.id, ctx.now()) {
         tracing::info!(id = %job.call.id, server = %lease.id, "request not sent: the server wants none");
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -35,12 +35,6 @@
 /// The pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
-/// After this part of the grace period, in percent, a stopping host starts no more streams.
-const STREAMS_UNTIL_PERCENT: u64 = 30;
-
-/// After this part of the grace period, in percent, a stopping host starts no more calls.
-const CALLS_UNTIL_PERCENT: u64 = 55;
-
 /// Retry time that a stopping host sends to callers, which then reach another host, in milliseconds.
 const STOPPING_RETRY_MS: u64 = 50;
 
@@ -122,7 +116,7 @@
         }
     };
     response::set_request_id(response.headers_mut(), &id);
-    if ctx.stopped().is_some() {
+    if ctx.grace_period().is_some() {
         response::set_close(response.headers_mut());
     }
     response
@@ -131,17 +125,7 @@
 /// Runs a request as a stream or a call, unless the host is stopping and too little of its grace period is
 /// left.
 async fn run(ctx: &Arc<Context>, job: Job) -> Response<Body> {
-    let is_stream = job.plan.route.kind.is_stream();
-    let percent = if is_stream {
-        STREAMS_UNTIL_PERCENT
-    } else {
-        CALLS_UNTIL_PERCENT
-    };
-    let last_start = Millis(ctx.limits.grace.0 * percent / 100);
-    if ctx
-        .stopped()
-        .is_some_and(|at| ctx.now().since(at) > last_start)
-    {
+    if !ctx.may_start(job.deadline) {
         return job.refuse(
             ctx,
             "stopping",
@@ -150,7 +134,7 @@
         );
     }
     let job = Arc::new(job);
-    if is_stream {
+    if job.plan.route.kind.is_stream() {
         streams::run(Arc::clone(ctx), job).await
     } else {
         calls::run(ctx, &job).await
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -102,6 +102,9 @@
 pub async fn run(ctx: Arc<Context>, job: Arc<Job>) -> Response<Body> {
     let mut state = StreamState::new(ctx, job);
     loop {
+        if !state.ctx.may_start(state.job.deadline) {
+            return state.answer_failure(state.history.abandon(), "stopping");
+        }
         if let Err(left) = state.job.until_admitted(&state.ctx).await {
             let (ctx, history) = (&state.ctx, &state.history);
             return state
--- a/crates/gooseberry-gateway/src/tunnel/serve.rs
+++ b/crates/gooseberry-gateway/src/tunnel/serve.rs
@@ -151,7 +151,7 @@
     ctx: &Arc<Context>,
     request: &Request<Incoming>,
 ) -> Result<(BackendId, TcpStream, Guard), Refusal> {
-    if ctx.stopped().is_some() {
+    if ctx.grace_period().is_some() {
         return Err(Refusal::Stopping);
     }
     let name = request.headers().get(SERVER).and_then(|v| v.to_str().ok());
--- a/crates/gooseberry-gateway/tests/host_stops.rs
+++ b/crates/gooseberry-gateway/tests/host_stops.rs
@@ -4,9 +4,14 @@
 mod site;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::StatusCode;
-use site::{Site, events, exchange, generation, request};
+use site::{Site, events, exchange, generation, open, request, send_to};
+use tokio::time::sleep;
+
+/// A short grace period, in seconds.
+const GRACE_S: f64 = 3.0;
 
 #[tokio::test]
 async fn requests_in_flight_complete() {
@@ -61,3 +66,45 @@
     stopping.await.unwrap();
     assert_eq!(ctx.metrics.in_flight.get(), 0);
 }
+
+/// A call that comes when too little of the grace period is left for its time limit must be refused before it runs: if
+/// it were passed on, the end of the process could cut it off.
+#[tokio::test]
+async fn late_calls_are_refused() {
+    let site = Site::start().await;
+    let gateway = site.gateway_with_grace("host-2", GRACE_S).await;
+    let mut kept = open(&gateway).await;
+    exchange(&mut kept, request("1", "/once/a")).await;
+    gateway.ctx.stop();
+    sleep(Duration::from_secs_f64(GRACE_S * 0.4)).await;
+    let answer = exchange(&mut kept, request("2", "/once/a")).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.is_refusal() && !answer.header("retry-after").is_empty());
+    assert!(site.shared.runs("2").is_empty());
+    // One whose time limit ends before the process does is still served.
+    let mut short = request("3", "/once/a");
+    let limit = "500".parse().unwrap();
+    short.headers_mut().insert("deadline-ms", limit);
+    assert_eq!(send_to(&gateway, short).await.status, StatusCode::OK);
+}
+
+/// A call that waits for a server must not be sent either once too little of the grace period is left.
+#[tokio::test]
+async fn waiting_calls_are_refused() {
+    let site = Site::start().await;
+    let gateway = site.gateway_with_grace("host-2", GRACE_S).await;
+    site.shared.reject_all("p-1");
+    site.shared.reject_all("p-2");
+    let mut link = open(&gateway).await;
+    gateway.ctx.stop();
+    let call = exchange(&mut link, request("1", "/once/a"));
+    let count = || site.shared.rejections_at("p-1") + site.shared.rejections_at("p-2");
+    let early = async {
+        sleep(Duration::from_secs_f64(GRACE_S * 0.4)).await;
+        count()
+    };
+    let (answer, early) = tokio::join!(call, early);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(early > 0);
+    assert_eq!(count(), early, "no send after the time for starts");
+}
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -124,6 +124,22 @@
         peer
     }
 
+    /// Starts another gateway with a grace period of `grace_s` seconds, and waits until it is ready.
+    pub(crate) async fn gateway_with_grace(&self, host: &str, grace_s: f64) -> Gateway {
+        let settings = Settings {
+            grace_s,
+            ..settings(host, self.store_addr)
+        };
+        let gateway = run::start(&settings, || 0).await.unwrap();
+        let servers = self.store.keys("servers").len();
+        self.until("the gateway is ready", || {
+            let listed = gateway.ctx.servers.lock().roster.len();
+            listed == servers && version(&gateway) == self.version()
+        })
+        .await;
+        gateway
+    }
+
     /// Starts another gateway, whose way to the store can be cut by dropping the guard.
     pub(crate) async fn gateway_apart(&self, host: &str) -> (Gateway, DropGuard) {
         let listener = listener().await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer_pool;
 pub mod budget;
 pub mod events;
+pub mod grace_period;
 pub mod outcome;
 pub mod progress;
 pub mod quarantine;
@@ -13,6 +14,7 @@
 pub use answer_pool::AnswerPool;
 pub use budget::Budget;
 pub use events::{Event, SplitError, Splitter};
+pub use grace_period::GracePeriod;
 pub use outcome::{Action, Outcome, SendHistory};
 pub use progress::{EventAction, Progress};
 pub use quarantine::{Admission, Quarantine, Subject};
