--- a/crates/gooseberry-gateway/src/context.rs
+++ b/crates/gooseberry-gateway/src/context.rs
@@ -12,6 +12,7 @@
 use routing::Snapshot;
 use timer::Timer;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::feed::Feeds;
 use crate::fleet::Servers;
@@ -75,6 +76,8 @@
     store_era: AtomicU64,
     /// When the process began to stop, plus 1; 0 before.
     stopping: AtomicU64,
+    /// Cancelled when the process begins to stop.
+    stopped: CancellationToken,
 }
 
 impl Context {
@@ -106,6 +109,7 @@
             answers: AnswerPool::new(MAX_BUFFERED_BYTES),
             store_era: AtomicU64::new(0),
             stopping: AtomicU64::new(0),
+            stopped: CancellationToken::new(),
         }
     }
 
@@ -222,6 +226,15 @@
     /// Records that the process begins to stop.
     pub fn stop(&self) {
         self.stopping.store(self.now().0 + 1, Ordering::Relaxed);
+        self.stopped.cancel();
+    }
+
+    /// Waits until the process stops and all requests must have an answer.
+    pub async fn until_answers_due(&self) {
+        self.stopped.cancelled().await;
+        if let Some(period) = self.grace_period() {
+            self.timer.at(period.answers_due()).await;
+        }
     }
 
     /// The grace period; `None` before the process begins to stop.
--- a/crates/gooseberry-gateway/src/run.rs
+++ b/crates/gooseberry-gateway/src/run.rs
@@ -222,6 +222,10 @@
             }
             self.ctx.timer.after(POLL_INTERVAL).await;
         }
+        if !self.is_idle() {
+            // On a host that was slow or frozen the answers that were due may not have been written yet.
+            self.ctx.timer.after(POLL_INTERVAL).await;
+        }
         tracing::info!(
             in_flight = self.ctx.metrics.in_flight.get(),
             took_ms = self.ctx.now().since(since).0,
--- a/crates/gooseberry-gateway/src/serve.rs
+++ b/crates/gooseberry-gateway/src/serve.rs
@@ -123,7 +123,7 @@
 }
 
 /// Runs a request as a stream or a call, unless the host is stopping and too little of its grace period is
-/// left.
+/// left. A request that has no answer near the end of that period is answered then.
 async fn run(ctx: &Arc<Context>, job: Job) -> Response<Body> {
     if !ctx.may_start(job.deadline) {
         return job.refuse(
@@ -134,10 +134,22 @@
         );
     }
     let job = Arc::new(job);
-    if job.plan.route.kind.is_stream() {
-        streams::run(Arc::clone(ctx), job).await
-    } else {
-        calls::run(ctx, &job).await
+    let running = async {
+        if job.plan.route.kind.is_stream() {
+            streams::run(Arc::clone(ctx), Arc::clone(&job)).await
+        } else {
+            calls::run(ctx, &job).await
+        }
+    };
+    tokio::select! {
+        biased;
+        response = running => response,
+        () = ctx.until_answers_due() => {
+            let (status, outcome) = (StatusCode::GATEWAY_TIMEOUT, "stopping");
+            job.record_end(ctx, outcome, status, None);
+            let message = "the host has stopped before an answer arrived; the request may have run";
+            reply::outcome_unknown(status, outcome, message)
+        }
     }
 }
 
--- a/crates/gooseberry-gateway/tests/host_stops.rs
+++ b/crates/gooseberry-gateway/tests/host_stops.rs
@@ -108,3 +108,23 @@
     assert!(early > 0);
     assert_eq!(count(), early, "no send after the time for starts");
 }
+
+/// A call that is still running when the grace period is nearly over must be answered before the process ends.
+#[tokio::test]
+async fn running_calls_are_answered() {
+    let site = Site::start().await;
+    let gateway = site.gateway_with_grace("host-2", GRACE_S).await;
+    let ctx = Arc::clone(&gateway.ctx);
+    let mut link = open(&gateway).await;
+    let call = exchange(&mut link, request("1", "/once/hang"));
+    let stop = async {
+        site.until("the call runs", || !site.shared.runs("1").is_empty())
+            .await;
+        gateway.stop().await;
+        ctx.metrics.in_flight.get()
+    };
+    let (answer, left) = tokio::join!(call, stop);
+    assert_eq!(left, 0, "requests without an answer at the end");
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(answer.text().contains("stopping"));
+}
