--- a/crates/gooseberry-gateway/src/calls.rs
+++ b/crates/gooseberry-gateway/src/calls.rs
@@ -122,7 +122,11 @@
 }
 
 /// Sends the request and reads the complete response.
-async fn exchange(ctx: &Arc<Context>, job: &Job, lease: &Lease) -> Result<FullAnswer, Outcome> {
+async fn exchange(
+    ctx: &Arc<Context>,
+    job: &Arc<Job>,
+    lease: &Lease,
+) -> Result<FullAnswer, Outcome> {
     let opened = send::send_request(ctx, job, lease, &StreamOptions::default()).await?;
     let OpenResponse {
         response,
@@ -131,7 +135,7 @@
     } = opened;
     let (parts, body) = response.into_parts();
     let body = match read_answer(ctx, body).await {
-        Ok(body) => body,
+        Ok(buffered) => job.in_flight(buffered),
         Err(error) => {
             tracing::info!(
                 id = %job.call.id, server = %lease.id, %error,
@@ -197,7 +201,7 @@
 }
 
 /// Reads a complete answer.
-async fn read_answer(ctx: &Context, mut body: Incoming) -> Result<Bytes, ReadError> {
+async fn read_answer(ctx: &Context, mut body: Incoming) -> Result<Buffered, ReadError> {
     let mut buffered = Buffered {
         bytes: Vec::new(),
         share: ctx.answers.share(),
@@ -208,7 +212,7 @@
             buffered.push(data)?;
         }
     }
-    Ok(Bytes::from_owner(buffered))
+    Ok(buffered)
 }
 
 /// Forwards a server's response to the caller.
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -78,7 +78,30 @@
     pub link: Link,
 }
 
+/// Bytes of an answer, which count as in flight until they have been written.
+struct InFlightBytes<T> {
+    bytes: T,
+    _job: Arc<Job>,
+}
+
+impl<T: AsRef<[u8]>> AsRef<[u8]> for InFlightBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
 impl Job {
+    /// Bytes of the answer, with which the request counts as in flight until they have been written to the caller.
+    pub fn in_flight<T>(self: &Arc<Self>, bytes: T) -> Bytes
+    where
+        T: AsRef<[u8]> + Send + 'static,
+    {
+        Bytes::from_owner(InFlightBytes {
+            bytes,
+            _job: Arc::clone(self),
+        })
+    }
+
     /// Hash of what makes two requests equal to a server: method, host, path, query, workspace and body.
     pub fn fingerprint(&self) -> u64 {
         let workspace = self.plan.workspace.as_ref().map(|w| w.name.as_str());
--- a/crates/gooseberry-gateway/src/streams.rs
+++ b/crates/gooseberry-gateway/src/streams.rs
@@ -294,6 +294,10 @@
         loop {
             match self.read_event().await {
                 Ok(event) => match self.progress.record(self.ctx.now(), &event) {
+                    // The process must not end before the last events have been written.
+                    EventAction::Forward if self.ctx.grace_period().is_some() => {
+                        return Ok(Some(self.job.in_flight(event.bytes)));
+                    }
                     EventAction::Forward => return Ok(Some(event.bytes)),
                     EventAction::Drop => {}
                     EventAction::Gap => self.resume(Outcome::Broken).await?,
--- a/crates/gooseberry-gateway/tests/host_stops.rs
+++ b/crates/gooseberry-gateway/tests/host_stops.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use site::{Site, events, exchange, generation, open, request, send_to};
+use site::{Site, events, exchange, generation, listener, open, request, send_to};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// A short grace period, in seconds.
@@ -128,3 +130,50 @@
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
     assert!(answer.text().contains("stopping"));
 }
+
+/// Bytes of an answer that the sockets of a connection cannot hold.
+const LARGE_BYTES: usize = 15 << 20;
+
+/// A server whose answers are large.
+async fn large(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(answer_large(stream));
+    }
+}
+
+async fn answer_large(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut request = vec![0; 16 << 10];
+    while stream.read(&mut request).await? > 0 {
+        let head =
+            format!("HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(&vec![b'x'; LARGE_BYTES]).await?;
+    }
+    Ok(())
+}
+
+/// An answer that its caller reads slowly must be written before the process ends.
+#[tokio::test]
+async fn slowly_read_answer() {
+    let site = Site::bare().await;
+    let listener = listener().await;
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(large(listener));
+    site.list("p-1", addr, false, "a", "ready");
+    site.configure(1, &site::config(1));
+    site.until("ready", || site.version() == 1 && site.listed_count() == 1)
+        .await;
+    let mut link = site.open().await;
+    let response = link.send(request("1", "/once/a")).await.unwrap();
+    let ctx = Arc::clone(&site.gateway.ctx);
+    // The caller has the head and reads no further for a while.
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(ctx.metrics.in_flight.get(), 1);
+    let answer = site::caller::read(response).await;
+    assert!(answer.is_whole);
+    assert_eq!(answer.body.len(), LARGE_BYTES);
+    site.until("the answer is complete", || {
+        ctx.metrics.in_flight.get() == 0
+    })
+    .await;
+}
