--- a/crates/gooseberry-gateway/src/liveness.rs
+++ b/crates/gooseberry-gateway/src/liveness.rs
@@ -144,12 +144,15 @@
     }
 }
 
-/// Adopts the server `new`, which answered at the address of `old`, as a server of the same service.
+/// Records that the server `new` answered at the address of `old`, and adopts it as a server of the same service.
 ///
-/// Only while the registry is unavailable, and only if the service of `new` is certain: it is an engine, and
+/// It is adopted only while the registry is unavailable, and only if the service of `new` is certain: it is an engine, and
 /// no other service has engines.
 pub async fn adopt(ctx: &Arc<Context>, old: &BackendId, new: &BackendId, link: &mut Link) {
     ctx.servers.record_unreachable(old, ctx.now());
+    if old != new && ctx.servers.lock().roster.confirm(new, old) {
+        tracing::info!(server = %new, other = %old, "listed server answers at the address of another row");
+    }
     if !ctx.servers.is_registry_unavailable() || !is_sole_engine_service(ctx, old) {
         return;
     }
--- a/crates/gooseberry-gateway/tests/odd_rows.rs
+++ b/crates/gooseberry-gateway/tests/odd_rows.rs
@@ -74,3 +74,17 @@
     let answer = site::send_to(&late, request("late", "/once/a")).await;
     assert_eq!(answer.status, StatusCode::OK);
 }
+
+/// A row at the address of a sound server, with figures that a server may have, must not take that server out of use.
+#[tokio::test]
+async fn row_at_address_of_sound_server() {
+    let site = Site::start().await;
+    let sound = json!(site::server_addr(&site.gateway, "p-1"));
+    let odd = row(&sound, "born", json!(1_791_900_628_329_u64));
+    site.put("servers", "odd", Some(odd));
+    site.until("the row is read", || site.listed_count() == 5)
+        .await;
+    call(&site, "call", 40).await;
+    assert!(site.shared.runs_at("p-1") > 0);
+    assert_eq!(site.shared.runs_at("odd"), 0);
+}
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -271,6 +271,26 @@
         change
     }
 
+    /// Records that the listed server `id` answered at the address of `other`, so that it is the one that runs there
+    /// whatever their rows say; returns whether that is news. It holds until a row at the address changes.
+    pub fn confirm(&mut self, id: &BackendId, other: &BackendId) -> bool {
+        let Some(addr) = self.members.get(other).map(|m| m.entry.addr) else {
+            return false;
+        };
+        if self.members.get(id).is_none_or(|m| m.entry.addr != addr) {
+            return false;
+        }
+        let mut is_news = false;
+        for (at, member) in self.members.iter_mut() {
+            if member.entry.addr == addr {
+                let is_replaced = at != id;
+                is_news |= member.is_replaced != is_replaced;
+                member.is_replaced = is_replaced;
+            }
+        }
+        is_news
+    }
+
     /// Marks `old` as replaced, and adds the unregistered server observed at its address if the registry is
     /// unavailable. The caller must have checked that both belong to the same service.
     ///
@@ -368,6 +388,7 @@
     fn drop_member(&mut self, id: &BackendId) {
         if let Some(member) = self.members.remove(id) {
             self.removed.insert(id.clone(), member.entry.start_time);
+            self.mark_replaced(member.entry.addr);
         }
         if self.removed.len() > MAX_GONE {
             self.removed = Sorted::default();
--- a/crates/membership/tests/server_rows.rs
+++ b/crates/membership/tests/server_rows.rs
@@ -98,6 +98,28 @@
     assert!(!usable(&roster, "old", 0) && usable(&roster, "new", 0));
 }
 
+/// A row at the address of a sound server must not keep it out of use once the server has answered there, or the row is
+/// gone.
+#[test]
+fn row_at_address_of_sound_server() {
+    let (sound, odd) = (BackendId::from("sound"), BackendId::from("odd"));
+    let mut roster = Roster::default();
+    roster.put(sound.clone(), entry(1, State::Serving, 10), 1);
+    roster.put(odd.clone(), entry(1, State::Serving, 20), 2);
+    assert!(roster.confirm(&sound, &odd));
+    assert!(usable(&roster, "sound", 0) && !usable(&roster, "odd", 0));
+    assert!(!roster.confirm(&sound, &odd), "no news");
+    // Another start there is believed again.
+    roster.put(odd.clone(), entry(1, State::Serving, 30), 3);
+    assert!(!usable(&roster, "sound", 0) && usable(&roster, "odd", 0));
+    assert_eq!(roster.remove(&odd, 4, Millis(0)), Change::Removed);
+    assert!(usable(&roster, "sound", 0));
+    // An answer of a server at another address says nothing.
+    roster.put(odd.clone(), entry(2, State::Serving, 40), 5);
+    assert!(!roster.confirm(&sound, &odd));
+    assert!(usable(&roster, "odd", 0));
+}
+
 #[test]
 fn restart_under_same_id() {
     let mut roster = Roster::default();
