--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -271,24 +271,22 @@
         change
     }
 
-    /// Records that the listed server `id` answered at the address of `other`, so that it is the one that runs there
-    /// whatever their rows say; returns whether that is news. It holds until a row at the address changes.
+    /// Records that the listed server `id` answered at the address of `other`. If a row there had replaced it, it is the
+    /// other servers at the address that are replaced, until a row there changes. Returns whether it was so.
     pub fn confirm(&mut self, id: &BackendId, other: &BackendId) -> bool {
         let Some(addr) = self.members.get(other).map(|m| m.entry.addr) else {
             return false;
         };
-        if self.members.get(id).is_none_or(|m| m.entry.addr != addr) {
+        let member = self.members.get(id);
+        if member.is_none_or(|m| m.entry.addr != addr || !m.is_replaced) {
             return false;
         }
-        let mut is_news = false;
         for (at, member) in self.members.iter_mut() {
             if member.entry.addr == addr {
-                let is_replaced = at != id;
-                is_news |= member.is_replaced != is_replaced;
-                member.is_replaced = is_replaced;
+                member.is_replaced = at != id;
             }
         }
-        is_news
+        true
     }
 
     /// Marks `old` as replaced, and adds the unregistered server observed at its address if the registry is
