--- a/crates/gooseberry-gateway/src/sync.rs
+++ b/crates/gooseberry-gateway/src/sync.rs
@@ -347,7 +347,8 @@
 
     fn apply_server(&self, row: &Row, now: Millis) {
         let id = BackendId::from(row.key.as_str());
-        let entry = match row.value.as_deref().map(servers::decode) {
+        let decode = |value| servers::decode(&row.key, value);
+        let entry = match row.value.as_deref().map(decode) {
             None => None,
             Some(Ok(entry)) => Some(entry),
             Some(Err(error)) => {
--- a/crates/gooseberry-gateway/tests/odd_rows.rs
+++ b/crates/gooseberry-gateway/tests/odd_rows.rs
@@ -88,3 +88,27 @@
     assert!(site.shared.runs_at("p-1") > 0);
     assert_eq!(site.shared.runs_at("odd"), 0);
 }
+
+/// A request must not be sent without the id of its server, as any server at the address would run it.
+#[tokio::test]
+async fn id_that_no_header_holds() {
+    let site = Site::start().await;
+    let addr = json!(site::server_addr(&site.gateway, "e-1"));
+    site.put(
+        "servers",
+        "odd\r\nid",
+        Some(row(&addr, "state", json!("ready"))),
+    );
+    site.server("p-3", false, "b").await;
+    let is_listed = || {
+        let fleet = site.gateway.ctx.servers.lock();
+        fleet.roster.iter().any(|(id, _)| id.as_str() == "p-3")
+    };
+    site.until("the later server is listed", is_listed).await;
+    call(&site, "call", 40).await;
+    for i in 0..40 {
+        for run in site.shared.runs(&format!("call-{i}")) {
+            assert!(run.headers.contains_key("expect-instance"), "call-{i}");
+        }
+    }
+}
