--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,12 +1,16 @@
 //! HTTP client of the engine interface.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use base::prelude::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame as BodyFrame, Incoming};
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use sse_stream::SseStream;
@@ -40,9 +44,56 @@
     },
 }
 
+/// Bytes that an engine may send without the end of a frame.
+const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// A body that fails when [`MAX_FRAME_BYTES`] have arrived since `left` was last set.
+struct BoundedBody {
+    inner: Incoming,
+    left: Arc<AtomicUsize>,
+}
+
+/// Why a [`BoundedBody`] fails.
+#[derive(Debug, Error)]
+enum BodyError {
+    /// The connection broke, or the body is malformed.
+    #[error(transparent)]
+    Broken(#[from] hyper::Error),
+    /// There was no end of a frame.
+    #[error("no end of a frame within {MAX_FRAME_BYTES} bytes")]
+    TooLarge,
+}
+
+impl Body for BoundedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<BodyFrame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.inner).poll_frame(cx);
+        polled.map(|frame| {
+            let frame = frame?.map_err(BodyError::Broken);
+            let bytes = frame
+                .as_ref()
+                .map_or(0, |f| f.data_ref().map_or(0, Bytes::len));
+            let left = this.left.load(Ordering::Relaxed);
+            if bytes > left {
+                return Some(Err(BodyError::TooLarge));
+            }
+            this.left.store(left - bytes, Ordering::Relaxed);
+            Some(frame)
+        })
+    }
+}
+
 /// Frames of one engine stream, read from one connection.
 pub struct Frames {
-    inner: SseStream<Incoming>,
+    inner: SseStream<BoundedBody>,
+    /// Bytes that may arrive until the next frame.
+    left: Arc<AtomicUsize>,
 }
 
 impl Frames {
@@ -50,9 +101,10 @@
     ///
     /// # Errors
     ///
-    /// `Stream` if the connection fails or a frame cannot be decoded.
+    /// `Stream` if the connection fails, or a frame cannot be decoded or is larger than 1 MiB.
     pub async fn next(&mut self) -> Result<Option<Frame>, EngineError> {
         let broken = |cause: String| EngineError::Stream { cause };
+        self.left.store(MAX_FRAME_BYTES, Ordering::Relaxed);
         loop {
             let event = futures_util::StreamExt::next(&mut self.inner).await;
             let Some(event) = event else { return Ok(None) };
@@ -165,8 +217,14 @@
     if !response.status().is_success() {
         return Err(refused(addr, response, limit).await);
     }
+    let left = Arc::new(AtomicUsize::new(MAX_FRAME_BYTES));
+    let body = BoundedBody {
+        inner: response.into_body(),
+        left: Arc::clone(&left),
+    };
     Ok(Frames {
-        inner: SseStream::new(response.into_body()),
+        inner: SseStream::new(body),
+        left,
     })
 }
 
