--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -28,6 +28,9 @@
 /// Maximum size of a rejection's body, after which the connection is used again.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
 
+/// Time limit for the rest of a rejection once its head has arrived; without it the connection is closed.
+const REJECTION_TIMEOUT: Millis = Millis(100);
+
 /// Longest time after which a caller is told to retry a request for which no server has a turn.
 const MAX_TURN_RETRY: Millis = Millis(1_000);
 
@@ -290,7 +293,9 @@
     }
     if let Some(new) = &head.answered_by {
         // The body must be read to its end before the connection can carry another request.
-        if link::read_body(body, MAX_REJECTION_BYTES).await.is_some() {
+        let rest = link::read_body(body, MAX_REJECTION_BYTES);
+        let rest = tokio::time::timeout(REJECTION_TIMEOUT.duration(), rest).await;
+        if rest.is_ok_and(|r| r.is_some()) {
             liveness::adopt(ctx, &lease.id, new, &mut link).await;
         }
         return Err(Outcome::Moved);
--- a/crates/gooseberry-gateway/tests/endless_answers.rs
+++ b/crates/gooseberry-gateway/tests/endless_answers.rs
@@ -144,6 +144,44 @@
     }
 }
 
+/// A server that rejects requests as meant for another one, and never completes the bodies of its answers.
+async fn stalled(listener: TcpListener, sent: Arc<Sent>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let sent = Arc::clone(&sent);
+        tokio::spawn(async move {
+            let mut request = vec![0; 64 << 10];
+            if stream.read(&mut request).await? == 0 {
+                return Ok(0);
+            }
+            sent.connections.fetch_add(1, Ordering::Relaxed);
+            let head =
+                "HTTP/1.1 421 Misdirected\r\ninstance-id: other\r\ncontent-length: 9\r\n\r\n";
+            stream.write_all(head.as_bytes()).await?;
+            stream.read(&mut request).await
+        });
+    }
+}
+
+/// A request that has certainly not run must go on to another server, and not wait for the rest of the rejection.
+#[tokio::test]
+async fn rejection_without_end() {
+    let site = Site::start().await;
+    let sent = Arc::new(Sent::default());
+    let listener = listener().await;
+    site.list("bad", listener.local_addr().unwrap(), false, "a", "ready");
+    tokio::spawn(stalled(listener, Arc::clone(&sent)));
+    site.until("all are listed", || site.listed_count() == 5)
+        .await;
+    let mut count = 0;
+    while sent.connections.load(Ordering::Relaxed) == 0 {
+        count += 1;
+        let answer = site
+            .send(request(&format!("call-{count}"), "/once/a"))
+            .await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
 /// Bytes of a sound answer that is large.
 const LARGE_BYTES: usize = 1_500_000;
 
