--- a/crates/gooseberry-gateway/src/reply.rs
+++ b/crates/gooseberry-gateway/src/reply.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use platform::response;
 use serde::Serialize;
 use thiserror::Error;
 
@@ -59,5 +60,6 @@
     *response.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
+    response::set_origin(response.headers_mut());
     response
 }
--- a/crates/gooseberry-gateway/src/send.rs
+++ b/crates/gooseberry-gateway/src/send.rs
@@ -288,6 +288,14 @@
     let head = response::decode(&parts, &job.call.id);
     let speaker = head.answered_by.as_ref().unwrap_or(&lease.id);
     notices::record(ctx, speaker, Some(sent), &head.notice);
+    if head.is_from_host {
+        tracing::info!(id = %job.call.id, server = %lease.id, addr = %lease.addr, "row with the address of a host");
+        ctx.servers.record_unreachable(&lease.id, ctx.now());
+        return Err(match head.status {
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Outcome::Broken,
+            _ => Outcome::Moved,
+        });
+    }
     if head.is_foreign || head.is_encoded || head.ends_by_close && link.hides_loss {
         return Err(Outcome::Broken);
     }
--- a/crates/gooseberry-gateway/tests/odd_rows.rs
+++ b/crates/gooseberry-gateway/tests/odd_rows.rs
@@ -112,3 +112,23 @@
         }
     }
 }
+
+/// A row with the address at which a host takes callers' requests must not bring a caller that host's own answers.
+#[tokio::test]
+async fn address_of_a_host() {
+    let site = Site::start().await;
+    let other = site.peer("host-2").await;
+    for (id, addr) in [("own", site.callers), ("other", other.listen.callers)] {
+        site.put("servers", id, Some(row(&json!(addr), "seq", json!(2))));
+    }
+    site.until("the rows are read", || site.listed_count() == 6)
+        .await;
+    call(&site, "call", 40).await;
+    for i in 0..20 {
+        let answer = site.send(request(&format!("safe-{i}"), "/safe/a")).await;
+        assert_eq!(answer.status, StatusCode::OK, "safe-{i}");
+    }
+    for i in 0..40 {
+        assert_eq!(site.shared.runs(&format!("call-{i}")).len(), 1, "call-{i}");
+    }
+}
