--- a/crates/web/src/limited.rs
+++ b/crates/web/src/limited.rs
@@ -22,14 +22,14 @@
 /// Bytes read at once; the library would fill any buffer that it has.
 const MAX_READ: u64 = 16 << 10;
 
-/// A builder of connections whose heads have at most [`MAX_HEAD_BYTES`].
+/// A builder of connections whose answers have heads of 64 KiB at most.
 pub fn builder() -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     builder
 }
 
-/// Sets the bound of a [`Limited`] connection.
+/// Sets and lifts the bound of a [`Limited`] connection.
 #[derive(Clone, Debug)]
 pub struct HeadLimit(Arc<AtomicU64>);
 
