--- a/crates/gooseberry-gateway/tests/odd_rows.rs
+++ b/crates/gooseberry-gateway/tests/odd_rows.rs
@@ -31,6 +31,16 @@
     }
 }
 
+/// Starts the plain server `p-3` and waits until it is listed, after all rows that were written before.
+async fn join_later(site: &Site) {
+    site.server("p-3", false, "b").await;
+    let is_listed = || {
+        let fleet = site.gateway.ctx.servers.lock();
+        fleet.roster.iter().any(|(id, _)| id.as_str() == "p-3")
+    };
+    site.until("the later server is listed", is_listed).await;
+}
+
 /// Odd rows under ids and addresses of their own, and at the address of a sound server.
 #[tokio::test]
 async fn other_rows_hold() {
@@ -57,12 +67,7 @@
         site.put("servers", &format!("odd-{i}"), Some(row));
     }
     // A server that joins later is used: the host still follows the registry.
-    site.server("p-3", false, "b").await;
-    let is_listed = || {
-        let fleet = site.gateway.ctx.servers.lock();
-        fleet.roster.iter().any(|(id, _)| id.as_str() == "p-3")
-    };
-    site.until("the later server is listed", is_listed).await;
+    join_later(&site).await;
     call(&site, "call", 40).await;
     for server in ["p-1", "p-2", "p-3"] {
         assert!(site.shared.runs_at(server) > 0, "{server} is used");
@@ -99,12 +104,7 @@
         "odd\r\nid",
         Some(row(&addr, "state", json!("ready"))),
     );
-    site.server("p-3", false, "b").await;
-    let is_listed = || {
-        let fleet = site.gateway.ctx.servers.lock();
-        fleet.roster.iter().any(|(id, _)| id.as_str() == "p-3")
-    };
-    site.until("the later server is listed", is_listed).await;
+    join_later(&site).await;
     call(&site, "call", 40).await;
     for i in 0..40 {
         for run in site.shared.runs(&format!("call-{i}")) {
--- a/crates/gooseberry-gateway/tests/site/mod.rs
+++ b/crates/gooseberry-gateway/tests/site/mod.rs
@@ -21,6 +21,7 @@
 use serde_json::Value;
 use settings::common::Level;
 use settings::gateway::{Gateway as Settings, Limits, Listen, Retries};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -342,6 +343,22 @@
     }
 }
 
+/// Reads a request of a gateway to a server that a test plays on a plain socket; `None` at the end of the connection and
+/// for a poll of the load, which gets no answer, so that the server is placed without its load.
+pub(crate) async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
+    let mut buffer = vec![0; 16 << 10];
+    let length = stream.read(&mut buffer).await?;
+    let head = String::from_utf8_lossy(&buffer[..length]).into_owned();
+    let is_answered = length > 0 && !head.starts_with("GET /report");
+    Ok(is_answered.then_some(head))
+}
+
+/// The value of the header whose line begins with `name`; empty if it is absent.
+pub(crate) fn field<'a>(head: &'a str, name: &str) -> &'a str {
+    let line = head.lines().find_map(|l| l.strip_prefix(name));
+    line.map(str::trim).unwrap_or_default()
+}
+
 pub(crate) async fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
--- a/crates/web/src/limited.rs
+++ b/crates/web/src/limited.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Sets the bound of this connection.
+    /// The handle that sets and lifts the bound of this connection.
     pub fn limit(&self) -> HeadLimit {
         self.left.clone()
     }
